--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -28,6 +28,7 @@
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 ID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
+KEY = re.compile(rb"[!-~]{1,255}")
 CUSTOMER = re.compile(rb"(?:^|[;,])\s*customer=([^;,\s]*)")
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
 TIMEOUT = re.compile(rb"([0-9]{1,12})([mu])")
@@ -47,6 +48,7 @@
     def __init__(self, settings: it.Settings, names: Names) -> None:
         self.names, self.settings = names, settings
         self._methods = [b"GET" if c.repeat is it.Repeat.SAFE else b"POST" for c in settings.classes]
+        self._keyed = [c.repeat is it.Repeat.KEYED for c in settings.classes]
 
     def read(self, message: Message, began: int) -> Wanted:
         """The client's request, or BadRequest: a plain 4xx tells the client what is wrong with it."""
@@ -67,6 +69,8 @@
         id = headers.get(b"request-id", b"")
         if not ID.fullmatch(id):
             raise BadRequest(400, "Request-Id is missing or invalid")
+        if self._keyed[cls] and not KEY.fullmatch(headers.get(b"idempotency-key", b"")):
+            raise BadRequest(400, "Idempotency-Key is missing or invalid")
         cookies = CUSTOMER.findall(headers.get(b"cookie", b""))
         customer = int(cookies[0], 16) if len(cookies) == 1 and HEX16.fullmatch(cookies[0]) else MAX_CUSTOMER
         if customer >= MAX_CUSTOMER:
@@ -102,12 +106,14 @@
 
 
 def _head(message: Message, id: bytes) -> bytes:
-    """What a backend is told, up to the time left; the target and the id go on unchanged."""
+    """What a backend is told, up to the time left; the target, the id and the key go on unchanged."""
     headers, body = message.headers, message.body
     host = headers.get(b"host", b"backend")
     head = b"%b %b HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n" % (message.method, message.target, host, id)
     if body or message.method == b"POST":
         head += b"Content-Length: %d\r\n" % len(body)
+    if key := headers.get(b"idempotency-key"):  # by it the backends know a repeat
+        head += b"Idempotency-Key: %b\r\n" % key
     if kind := headers.get(b"content-type"):
         head += b"Content-Type: %b\r\n" % kind
     return head
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -51,6 +51,21 @@
     assert ended.outcome is it.Outcome.OK and ended.final and ended.load == (3.0,)
 
 
+async def test_a_keyed_request_goes_on_with_its_key(ingress: Ingress, backend: PeerServer) -> None:
+    backend.heard = lambda peer: None
+    body = b"\x00\r\n\r\n\xff" * 30
+    data = request(cls="save", Idempotency_Key="5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+    data = data.replace(b"Content-Length: 0", b"Content-Length: %d" % len(body))
+    task = asyncio.create_task(ingress.ask(data + body))
+    await backend.until(lambda: bool(backend.peers) and backend.peers[0].data.endswith(body))
+    head, _, passed = backend.peers[0].data.partition(b"\r\n\r\n")
+    backend.peers[0].transport.write(OK)
+    assert (await task).endswith(b"warm")
+    assert head.startswith(b"POST /save/x?y=1 HTTP/1.1\r\n") and passed == body
+    fields = head.split(b"\r\n")
+    assert b"Request-Id: a1" in fields and b"Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211" in fields
+
+
 LENGTHS = b"POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: %b\r\n\r\nabcd"
 
 
@@ -92,6 +107,9 @@
         (request().replace(b"GET", b"POST"), b"405"),
         (request(cls="order").replace(b"POST", b"GET"), b"405"),
         (request(Content_Length="2") + b"hi", b"400"),
+        (request(cls="save"), b"400"),
+        (request(cls="save", Idempotency_Key=""), b"400"),
+        (request(cls="save", Idempotency_Key="a b"), b"400"),
     ],
 )
 async def test_bad_input_gets_a_plain_4xx_and_a_close_and_harms_nobody(
