--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -119,8 +119,12 @@
             exchange.end(_answer(message))
 
     def garbage(self, status: int) -> None:
+        """The backend has answered, so it is up and may have run the request; a reset would say it is down."""
         log.warning("backend %s: answer not understood", self.pool.name)
-        self._gone()
+        exchange, self.exchange = self.exchange, None
+        self.drop()
+        if exchange:
+            exchange.end(Answer(Outcome.ERROR))
 
     def eof_received(self) -> None:
         self.ended_by_close()
