--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -119,7 +119,7 @@
             exchange.end(_answer(message))
 
     def garbage(self, status: int) -> None:
-        """The backend has answered, so it is up and may have run the request; a reset would say it is down."""
+        """It has answered, so it is up and may have run the request; a reset would say that it is down."""
         log.warning("backend %s: answer not understood", self.pool.name)
         exchange, self.exchange = self.exchange, None
         self.drop()
