--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -351,7 +351,9 @@
         heard = event.outcome is Outcome.OK and math.isfinite(event.total)
         # Counter slow, silent, refusing, crowded: fewer calls out, rarer, for more; quota / spread meanwhile.
         # Harms a customer whose traffic all comes through one gateway: it waits longer for its units.
+        # A connection that broke tells nothing of how busy the counter is.
         step = 1.5 if not heard else 0.95 if event.latency <= self.settings.counter.timeout else 1.1
+        step = 1.0 if event.outcome is Outcome.RESET else step
         self.crowd = min(self.most, max(1.0, self.crowd * step))
         account.owed += owed if event.outcome in NEVER_RAN else 0.0  # nothing was added
         if not lease:
--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -92,13 +92,14 @@
             """Its answer came and can't be read: the amount was added, and a read tells the total. Not with
             another call for the name behind it: answers for one name keep their order."""
             if self._homes.get(name) is not call:
-                ended(Outcome.TIMEOUT, 0.0)
+                ended(Outcome.RESET, 0.0)
                 return
             done()
             self.add(name, 0.0, ttl_us, read)
 
         def read(outcome: Outcome, total: float) -> None:
-            answered(outcome if outcome is Outcome.OK else Outcome.TIMEOUT, total)
+            never = {Outcome.FULL: Outcome.TIMEOUT, Outcome.CONNECT_FAILED: Outcome.RESET}
+            answered(never.get(outcome, outcome), total)  # the read never ran, but the amount was added
 
         ttl = min(MAX_TTL_MS, max(1, ttl_us // 1000))
         call = line.call(b"add %016x %.6f %d\r\n" % (name, amount, ttl), ended)
@@ -199,7 +200,7 @@
         self._empty.set()
         calls, self._calls = self._calls, deque()
         for call in calls:
-            call.end(Outcome.TIMEOUT)  # written: it may have been added
+            call.end(Outcome.RESET)  # written: it may have been added
 
     def _answer(self, line: bytes) -> bool:
         word, _, rest = line.partition(b" ")
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -201,6 +201,16 @@
     assert calls(8) < 0.8 * calls(0)
 
 
+def test_a_connection_that_breaks_says_nothing_of_the_counters_load() -> None:
+    g, sent = gateway(), 0
+    for n in range(20):
+        actions = g.handle(n * SECOND, arrival(n, customer=n))
+        (add,) = of(actions, it.AddToCounter)  # it is still asked for every new customer
+        actions = g.handle(n * SECOND, it.CountAnswered(add.name, it.Outcome.RESET, 0.0, 100))
+        sent += len(of(actions, it.SendAttempt))
+    assert g.crowd == 1 and sent == 20  # meanwhile, each by the customer's share
+
+
 def test_leases_and_a_full_store_are_one_burst() -> None:
     g, counter = gateway(), Counter()
     settle(g, 0, arrival(1), counter)
