--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -25,11 +25,22 @@
 log = logging.getLogger(__name__)
 
 
+class Progress:
+    """What tells a connection that has stalled from a counter that is slow: of the calls on all connections,
+    numbered as they are written, the last one written and the latest one answered."""
+
+    __slots__ = ("answered", "written")
+
+    def __init__(self) -> None:
+        self.written = self.answered = 0
+
+
 class Call:
-    __slots__ = ("answered", "at", "line", "ping", "reread")
+    __slots__ = ("answered", "at", "line", "number", "ping", "reread")
 
-    def __init__(self, line: CounterLine, answered: Answered | None, at: float) -> None:
+    def __init__(self, line: CounterLine, answered: Answered | None, at: float, number: int) -> None:
         self.line, self.answered, self.at = line, answered, at  # None: a ping, or a call that was given up
+        self.number = number
         self.ping = answered is None
         self.reread: Callable[[], None] | None = None
 
@@ -45,6 +56,7 @@
     def __init__(self, address: tuple[str, int], timeout_us: int) -> None:
         self.address, self.timeout = address, WAIT * timeout_us / 1e6
         self.connected = asyncio.Event()  # set once the first connection is up
+        self._progress = Progress()
         self._lines: list[CounterLine] = []
         self._homes: dict[int, Call] = {}  # by name, the last call unanswered: the next follows on its line
         self._tasks: list[asyncio.Task[None]] = []
@@ -111,7 +123,9 @@
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
-                    _, line = await loop.create_connection(lambda: CounterLine(self.timeout), *self.address)
+                    _, line = await loop.create_connection(
+                        lambda: CounterLine(self.timeout, self._progress), *self.address
+                    )
             except OSError:  # TimeoutError is one
                 pass
             else:
@@ -130,8 +144,9 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, timeout: float) -> None:
+    def __init__(self, timeout: float, progress: Progress) -> None:
         self.timeout, self.heard, self.closed = timeout, False, asyncio.Event()
+        self._progress = progress
         self._loop = asyncio.get_running_loop()
         self._calls: deque[Call] = deque()  # written, unanswered
         self._timed: deque[Call] = deque()  # of these, the ones whose time-out is still to come
@@ -156,6 +171,11 @@
         given_up = self._calls and self._calls[0].answered is None and not self._calls[0].ping
         return bool(given_up or (self._calls and now - self._calls[0].at > self.timeout))
 
+    def _stalled(self, now: float) -> bool:
+        """The call that is due has had its time, and one that was written after it has been answered."""
+        due = self._calls[0] if self._calls else None
+        return bool(due and now >= due.at + self.timeout and self._progress.answered > due.number)
+
     async def finish(self) -> None:
         """Returns once no call is unanswered."""
         self._finishing = True
@@ -164,7 +184,8 @@
 
     def call(self, line: bytes, answered: Answered | None) -> Call:
         self._last = self._loop.time()
-        call = Call(self, answered, self._last)
+        self._progress.written += 1
+        call = Call(self, answered, self._last, self._progress.written)
         self._calls.append(call)
         self.transport.write(line)
         if answered:
@@ -215,13 +236,18 @@
         if not self._calls or self._calls[0].ping != (word == b"pong"):  # out of step: nothing can be paired
             return False
         self.heard = True
-        self._calls.popleft().end(outcome, total)
+        call = self._calls.popleft()
+        self._progress.answered = max(self._progress.answered, call.number)
+        call.end(outcome, total)
         if self._finishing and not self._calls:
             self._empty.set()
         return True
 
     def _expire(self) -> None:
         now, self._timer = self._loop.time(), None
+        if self._stalled(now):  # what it carries is lost, the next call need not be
+            self.transport.abort()
+            return
         while self._timed and (self._timed[0].answered is None or now >= self._timed[0].at + self.timeout):
             self._timed.popleft().end(Outcome.TIMEOUT)
         if self._timed and not self.closed.is_set():
@@ -229,8 +255,11 @@
             self._timer = self._loop.call_later(left, self._expire)
 
     def _tick(self) -> None:
-        """A dead counter says nothing: only an answer that stays away tells."""
+        """A dead counter says nothing, nor does a stalled connection: only answers that stay away tell."""
         now = self._loop.time()
+        if self._stalled(now):
+            self.transport.abort()
+            return
         if self._calls and now - self._calls[0].at > SILENT:
             log.warning("counter: silent for %.0f s, connecting anew", SILENT)
             self.transport.abort()
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -174,6 +174,22 @@
     calls.counter.stop()
 
 
+async def test_a_connection_that_stalls_while_others_are_answered_is_replaced_at_once(
+    server: PeerServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(counter_module, "LINES", 2)
+    calls = Calls(server, SHORT)
+    await calls.connect()
+    calls.add("stuck", name=1)
+    await lines(server, 1)
+    (stuck,) = [p for p in server.peers if b"add" in p.data]
+    server.heard = lambda peer: None if peer is stuck else peer.transport.write(b"ok 5\r\n")
+    calls.add("later", name=2)
+    assert await calls.answered(2) == [("later", Outcome.OK, 5.0), ("stuck", Outcome.RESET, 0.0)]
+    await server.until(lambda: stuck in server.closed and len(server.peers) == 3)
+    calls.counter.stop()
+
+
 async def test_a_counter_that_is_left_ends_the_calls_under_way(server: PeerServer) -> None:
     calls = Calls(server, LONG)
     await calls.connect()
