--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -27,6 +27,7 @@
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
 FAILED = 4.0  # times the usual latency: what an error or no answer is taken for
 MEMORY = 5.0  # s that a backend's slowness is remembered: some tens of answers; longer if few come
+LAST_CHANCE = 0.5  # of the usual latency: a further attempt with less time left is work for nothing
 LOOK = 16  # backends looked at for a request: all of a small fleet, of a large one enough to find a good one
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 BUSY = ("queue", "inflight", "util")  # reports that grow with what a backend has to do
@@ -406,7 +407,8 @@
 
     def send(self, request: Request) -> bool:
         event, account, cls, first = request.event, request.account, request.cls, not request.attempts
-        over = len(request.attempts) >= self.settings.limits.max_attempts or self.now >= request.cut
+        least = 0 if first else int(LAST_CHANCE * self.fleet.usual[event.cls])
+        over = len(request.attempts) >= self.settings.limits.max_attempts or self.now + least >= request.cut
         if first and account.plan.ceiling_rate:  # kept by fixed parts, whatever the counter says
             over = over or account.ceiling < event.units
         backend = None if over else self.fleet.pick(self.now, event.cls, lambda b: self.may_send(request, b))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,6 +56,20 @@
     assert len(sends(g, 60_000, range(200, 300))) >= before
 
 
+def test_no_further_attempt_is_sent_that_cannot_end_in_time() -> None:
+    def after(took: int) -> list[it.Action]:
+        g = gateway(backend(1), backend(2))
+        for n in range(5):
+            for s in of(g.handle(n * SECOND, arrival(n)), it.SendAttempt):
+                g.handle(n * SECOND, it.AttemptEnded(n, 0, s.backend, it.Outcome.OK, 100_000, True))
+        (send,) = of(g.handle(9 * SECOND, arrival(9, time_left=300_000)), it.SendAttempt)
+        ended = it.AttemptEnded(9, 0, send.backend, it.Outcome.ERROR, took, False)
+        return g.handle(9 * SECOND + took, ended)
+
+    assert of(after(150_000), it.SendAttempt)  # answers usually take 100 ms
+    assert not of(after(299_000), it.SendAttempt) and of(after(299_000), it.Refuse)
+
+
 def test_unreachable_backend_is_left_alone_and_tried_again_later() -> None:
     g = gateway(backend(1), backend(2))
     for n in range(30):
