--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -236,10 +236,12 @@
                 if request := self._open(number):
                     self._close(request)
                     request.client.refuse(retry_after if self.settings.limits.advises_retry else 0)
+                    self._forget(number)  # no event of its own need follow
             case it.Fail(number):
                 if request := self._open(number):
                     self._close(request)
                     request.client.fail(timed_out=False)
+                    self._forget(number)
             case it.CancelAttempt(number, attempt):
                 self._cancel(number, attempt)
             case it.SetTimer(token, at):
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -102,6 +102,19 @@
     return [(e.attempt, e.outcome, e.final) for e in script.of(it.AttemptEnded)]
 
 
+def test_nothing_is_kept_of_a_request_refused_by_the_counters_answer() -> None:
+    def rule(event: it.Event) -> list[it.Action]:
+        if isinstance(event, it.RequestArrived):
+            return [it.AddToCounter(5, 1.0, 1_000_000)]
+        return [it.Refuse(1)] if isinstance(event, it.CountAnswered) else []
+
+    world = World(Script(rule))
+    assert world.ask(b"a") and world.answers == [0]
+    assert not world.ask(b"a")  # of late: still not new
+    world.pass_time(2 * max(c.deadline for c in SETTINGS.classes))
+    assert world.ask(b"a")  # forgotten
+
+
 def test_the_first_200_is_final_and_a_later_outcome_is_not_told_twice() -> None:
     world = World(Script(sender()))
     world.ask()
