--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -130,6 +130,7 @@
         self.ended_by_close()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
         self._gone()
 
     def _gone(self) -> None:
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -235,6 +235,7 @@
             listener.pause()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
         listener = self._listener
         listener.connections.discard(self)
         for held in (listener.new, listener.begun, listener.idle, listener.choked):
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -32,7 +32,7 @@
     transport: asyncio.Transport
 
     def __init__(self, parser: type[Any]) -> None:
-        self._parser = parser(self)
+        self._parser: Any = parser(self)
         self._message = Message()
         self._whole: list[Message] = []
         self._parts: list[bytes] = []
@@ -59,6 +59,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The parser holds this connection by its callbacks. Left in that circle, what is closed would wait,
+        buffers and all, for the garbage collector, which seldom looks at what has lived for a while."""
+        self._parser = None
+
     def data_received(self, data: bytes) -> None:
         if self._lost_framing:
             return
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import weakref
 from collections.abc import AsyncIterator
 
 import pytest
@@ -66,6 +68,25 @@
     assert b"Request-Id: a1" in fields and b"Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211" in fields
 
 
+async def test_closed_connections_do_not_wait_for_the_garbage_collector(ingress: Ingress) -> None:
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    gc.collect()
+    gc.disable()
+    try:
+        writer.write(request())
+        await read_answer(reader)
+        held = [weakref.ref(c) for c in ingress.listener.connections]
+        held += [weakref.ref(link) for pool in ingress.backends._pools.values() for link in pool.idle]
+        assert len(held) == 2
+        writer.close()
+        ingress.backends.close_idle(1)
+        async with asyncio.timeout(10):
+            while any(ref() for ref in held):
+                await asyncio.sleep(0)
+    finally:
+        gc.enable()
+
+
 LENGTHS = b"POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: %b\r\n\r\nabcd"
 
 
