Take a watch for dead after one missing beat, not after three

What a reload's discovery has to tell counts as told after 4 s, which 6 s of waiting could not keep.

--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -12,7 +12,7 @@
 
 from ironledge.net.http import MAX_HEAD
 
-SILENT = 6.0  # s with no line: three beats
+SILENT = 3.0  # s with no line: a beat is due every 2 s, and after a reload what is told counts as told in 4 s
 BACK_OFF = (0.1, 0.5)  # s between tries: the first, the longest
 CONNECT_TIMEOUT = 1.0
 MAX_LINE = 8 * 1024 * 1024
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -13,7 +13,7 @@
 from ironledge.net import counter as counter_module
 from ironledge.net import discovery as discovery_module
 from ironledge.net.counter import Counter
-from ironledge.net.discovery import Discovery, Listing
+from ironledge.net.discovery import Discovery, Listing, Watch
 from tests.net_helpers import HOST, PeerServer
 
 LONG, SHORT = 10_000_000, 20_000
@@ -284,3 +284,34 @@
     await server.until(lambda: len(server.peers) == 2)
     assert watched.told == []
     watched.discovery.stop()
+
+
+async def test_a_watch_is_taken_for_dead_soon_after_one_missing_beat() -> None:
+    class Time:  # stands in for the loop
+        now, at = 0.0, 0.0
+
+        def time(self) -> float:
+            return self.now
+
+        def call_later(self, delay: float, run: object) -> asyncio.Handle:
+            self.at = self.now + delay
+            return asyncio.Handle(lambda: None, (), asyncio.get_running_loop())
+
+    class Wire(asyncio.Transport):
+        def write(self, data: object) -> None: ...
+
+        def abort(self) -> None:
+            aborted.append(time.now)
+
+    aborted: list[float] = []
+    time, watch = Time(), Watch(Discovery((HOST, 1), 0, lambda listing: None))
+    watch._loop = time  # type: ignore[assignment]
+    watch.connection_made(Wire())
+    watch.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for beat in (2.0, 4.0):
+        time.now = beat
+        watch.data_received(chunk(b"\n"))
+    while not aborted:
+        time.now = time.at
+        watch._check()
+    assert 6 < aborted[0] <= 7.5  # after the beat due at 6 s, before a reload's 4 s are up
