Count wide customers' use with fading weights, in place of windows that forget it

Customers that ask several times their quota got twice as much as it allows.

Checked: what calls told the counter against what had arrived: 0.75 for heavy customers, 1.2 to 1.6 for light ones, as each call spoke for the gateway's average customer (`speaks`). A window let in burst/2 plus what fell due in it (brain.py, `past = total - plan.burst / 2`), a burst and a half where a store gives one; and a draw for a part of a request that failed left the part for the next draw (`admit_unheard`).

Mend: for customers of many gateways the counter holds units weighted by e in each time the store needs to fill, so that the total fades as the store fills and needs no window to begin anew; a lease past the allowance is added back. Requests wait a tenth of their aim for a turn at a crowded counter; calls that of late brought nothing come last.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -21,7 +21,12 @@
 CALLS_OUT = 64.0  # calls to the counter in its time-out by all gateways: more than a healthy one has waiting
 CROWDED = 1.2  # calls turned away or unanswered of late: some in ten, and not just one
 KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
-WIDE = 12  # gateways a customer: with more, what one leases ahead is seldom spent, and few know of the store
+WIDE = 12  # gateways a customer: with more, each knows next to nothing of the store but from the counter
+EPOCH = 8  # windows that one name of a fading count lasts: its weights grow by e in each, and stay exact
+HOLD = 0.25  # of what a wide customer's store has left: the most that one gateway takes ahead of it
+PATIENCE = 0.1  # of a class's aim that a request may wait until a call to the counter can be made
+LUCK = 0.3  # the weight of the last call in a customer's luck ...
+PRIOR = 0.05  # ... and of its first one in that of its plan's customers
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
 TARGET = 0.32  # latency, as a share of the aim, at which a backend counts as full: tails run three times that
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
@@ -33,8 +38,8 @@
 BUSY = ("queue", "inflight", "util")  # reports that grow with what a backend has to do
 BROKEN = (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)
 CARRIED = (
-    "level", "level_at", "share", "owed", "tokens", "rate", "chance", "heard_at", "usual", "demand_at",
-    "ceiling",
+    "level", "level_at", "share", "owed", "tokens", "rate", "heard_at", "usual", "demand_at", "ceiling",
+    "used", "held", "faded_at", "luck",
 )  # fmt: skip
 NAME_MIX = 0x9E3779B97F4A7C15  # odd 64-bit multiplier (golden ratio): spreads neighbouring numbers
 
@@ -60,7 +65,6 @@
     owed: float = 0.0  # spent of it, and not yet told to the counter
     tokens: float = 0.0  # W: leased units left
     rate: float = 0.0  # r_t: size of the last lease over its expected life
-    chance: float = 1.0  # part of what all gateways ask of late that the store can give
     heard_at: int = -60 * SECOND
     usual: float = 0.0  # lambda: units newly asked a second, averaged over the store's time to fill
     demand_at: int = 0
@@ -69,6 +73,12 @@
     slot: int = 0
     ring: deque[list[float]] = field(default_factory=deque)  # slots, present first: A spare, B booked over
     asking: bool = False
+    # Of a wide customer, in units that fade as a store fills (by e in a window), so that no window's start
+    # forgets what was used just before, and no clock has to tell when the store was full:
+    used: float = 0.0  # by all gateways, as the counter last told
+    held: float = 0.0  # of these, leased here and not spent; below nothing: spent here and not told
+    faded_at: int = 0
+    luck: float = -1.0  # part of the calls for it that brought units; below nothing: none was made
     open: int = 0  # attempts out
     waiting: list[Request] = field(default_factory=list)  # for the counter's answer
 
@@ -84,6 +94,15 @@
         self.share = min(max(units, plan.burst * part), self.share + plan.rate * part * gone)  # one fits
         self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * part * gone)
 
+    def fade(self, now: int) -> None:
+        left = math.exp(min(0, self.faded_at - now) / self.window_us)
+        self.used, self.held, self.faded_at = self.used * left, self.held * left, now
+
+    def most(self, units: float) -> float:
+        """Of a fading count: asked without a pause, it grants just the rate; half a request over the burst,
+        as what fades between two grants is less than what a store gains."""
+        return self.plan.burst + units / 2
+
     def bound(self, now: int) -> float:  # the most the shared store can hold; unspent leases count
         grown = self.level + self.plan.rate * (now - self.level_at) / SECOND
         return min(self.plan.burst - self.tokens, grown)
@@ -225,6 +244,7 @@
     cls: it.RequestClass
     account: Account
     cut: int  # no answer after this is worth its work
+    came: int
     attempts: list[Attempt] = field(default_factory=list)
 
     def ran(self) -> Attempt | None:
@@ -244,7 +264,7 @@
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
         self.calls: dict[int, deque[tuple[Account, int, float, bool, float]]] = {}  # by name, in order
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
-        self.unasked, self.speaks = 0, 1.0  # requests since the last call, and how many a call speaks for
+        self.luck = dict.fromkeys(settings.plans, 1.0)  # of a wide customer of whom nothing is known
         self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
         self.most = max(1.0, min(32.0, 1.5 * SECOND / max(1.0, self.pace)))  # a trial call a second or so
         self.slot_us = limits.advises_retry * limits.max_retry_after or SECOND  # d_0, T0: longest wait heeded
@@ -258,7 +278,10 @@
             case it.AttemptEnded():
                 self.attempt_ended(event)
             case it.TimerFired(token):
-                if (request := self.requests.get(token)) and request.attempts and self.fleet.used() < SPARE:
+                if (request := self.requests.get(token)) and not request.attempts:
+                    if request not in request.account.waiting:
+                        self.admit(request)  # its turn to ask the counter may have come
+                elif request and self.fleet.used() < SPARE:
                     self.send(request)  # a second copy, only while backends have room for it
             case it.CountAnswered():
                 self.count_answered(event)
@@ -282,7 +305,7 @@
         for customer, a in self.accounts.items():
             sums = tuple(float(getattr(a, name)) for name in CARRIED)
             accounts.append(it.CarriedAccount(customer, plans.index(a.plan), a.spread, sums))
-            a.tokens = a.owed = a.share = a.ceiling = 0.0
+            a.tokens = a.owed = a.held = a.share = a.ceiling = 0.0
         backends = [it.CarriedBackend(n, b.limit, b.credit, tuple(b.slow)) for n, b in fleet.backends.items()]
         for b in fleet.backends.values():
             b.credit = 0.0
@@ -319,7 +342,7 @@
             account = Account(s.plans[event.plan], spread, self.slot_us, self.now)
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
-        request = Request(event, cls, account, self.now + min(event.time_left, span))
+        request = Request(event, cls, account, self.now + min(event.time_left, span), self.now)
         self.requests[event.request] = request
         account.arrive(self.now, event.units, event.is_retry)
         self.admit(request)
@@ -327,57 +350,131 @@
     def admit(self, request: Request, answered: bool = False) -> None:
         """First stage. `answered`: the counter has just been heard, so what the bucket lacks is overflow."""
         account, units, counter = request.account, request.event.units, self.settings.counter
-        plan, tight, late = account.plan, self.tight(account), self.now + 2 * counter.timeout >= request.cut
-        late = late or not counter.allowed or (not account.asking and self.call_at > self.now)
-        known = self.now - account.heard_at < account.window_us
+        plan, late = account.plan, self.now + 2 * counter.timeout >= request.cut
+        late = late or not counter.allowed
         if plan.max_open and account.open >= plan.max_open:
             self.overflow(request)  # the cap on attempts at once: beyond the quota whatever the store holds
+        elif plan.rate and account.spread > WIDE and counter.allowed:
+            self.admit_wide(request, answered)
         elif not plan.rate or (account.tokens >= units and not account.waiting):
             account.level, account.level_at = account.bound(self.now), self.now
             account.tokens -= units if self.send(request) else 0.0
-        elif answered or (not tight and account.bound(self.now) + account.tokens < units):
+        elif answered or account.bound(self.now) + account.tokens < units:
             self.overflow(request)  # the store cannot hold it, whatever the siblings did: no call needed
-        elif late or (tight and (known or request.event.is_retry or plan.beyond_earns > plan.beyond_costs)):
-            self.admit_unheard(request)  # no counter or time, calls enough made, or none to spare for this
+        elif late or (not account.asking and self.call_at > self.now):
+            self.admit_unheard(request)  # no counter or time, or calls enough made
         else:
             account.waiting.append(request)
             if not account.asking:
                 self.ask(account, request.event.customer)
 
-    def tight(self, account: Account) -> bool:  # the counter is crowded, the customer's gateways are many
-        return self.crowd > CROWDED and account.spread > WIDE
+    def admit_wide(self, request: Request, answered: bool) -> None:
+        """The same for a customer of many gateways, by the fading count of what all of them had."""
+        account, units, event = request.account, request.event.units, request.event
+        account.fade(self.now)
+        room = account.most(units) - account.used + min(0.0, account.held)
+        luck = account.luck if account.luck >= 0 else self.luck[account.plan]
+        spare = (self.now - self.call_at) * self.crowd / SECOND  # of the calls that may be made at one stroke
+        if account.held >= units and not account.waiting:
+            account.held -= units if self.send(request) else 0.0
+        elif answered or (room < units and not account.asking):
+            self.overflow(request)  # used up, as far as is known; the others can but have used more
+        elif account.asking:
+            account.waiting.append(request)
+        elif spare >= 1 - luck:  # calls that will likely bring nothing are made where nothing else needs them
+            account.waiting.append(request)
+            self.ask_wide(account, event.customer)
+        elif self.now - account.heard_at < account.window_us and room - units > account.most(units) / 2:
+            account.held -= units if self.send(request) else 0.0  # told with the next call
+        elif luck > 0.5 and self.now < request.came + PATIENCE * request.cls.aim:
+            turn = max(self.now, self.call_at) + self.settings.tick
+            self.actions.append(it.SetTimer(event.request, turn))
+        else:
+            self.admit_unheard(request)
 
     def admit_unheard(self, request: Request) -> None:  # without a call: a part, by a draw if under one
         account, units = request.account, request.event.units
-        room, self.unasked = account.bound(self.now), self.unasked + (not request.event.is_retry)
+        room = account.bound(self.now)
         even = account.plan.burst / account.spread if request.event.is_retry else room
         part = min(account.share, room, even) / units if units else 1.0
-        if self.tight(account) and self.now - account.heard_at < KNOWN * account.window_us:
-            part = account.chance
-        elif account.plan.burst >= units * account.spread:
+        if account.plan.burst >= units * account.spread:
             part = part // 1  # else never as much as one
         if self.fleet.rng.random() >= part:
+            account.share -= units * part  # the draw was for all of it: a second one would make it more
             self.overflow(request)
         elif self.send(request):
             account.share = max(0.0, account.share - units)
-            account.owed = min(account.plan.burst, account.owed + units)
             account.level, account.level_at = room - units, self.now
+            if account.spread > WIDE:
+                account.fade(self.now)
+                account.held -= units
+            else:
+                account.owed = min(account.plan.burst, account.owed + units)
+
+    def ask_wide(self, account: Account, customer: int) -> None:  # a lease, and what was spent untold
+        units, epoch = account.waiting[0].event.units, EPOCH * account.window_us
+        room = account.most(units) - account.used + min(0.0, account.held) - units
+        ahead = min(account.usual * LEASE_LIFE, HOLD * room)
+        ahead = ahead // units * units if units else 0.0
+        untold = max(0.0, -account.held)
+        account.held, account.asking = max(0.0, account.held), True
+        name, start = count_name(customer, self.now // epoch), self.now // epoch * epoch
+        self.call_wide(account, name, start, units + ahead, True, untold)
+
+    def call_wide(
+        self, account: Account, name: int, start: int, amount: float, lease: bool, untold: float = 0.0
+    ) -> None:
+        """Adds units weighted by when they were taken: what came before fades in the same measure."""
+        weight = math.exp((self.now - start) / account.window_us)
+        life = min(60 * SECOND, 2 * EPOCH * account.window_us)
+        self.actions.append(it.AddToCounter(name, (amount + untold) * weight, life))
+        self.called(name, account, start, amount, lease, untold)
+
+    def counted_wide(
+        self, account: Account, event: it.CountAnswered, start: int, amount: float, untold: float
+    ) -> None:
+        """The answer to a lease."""
+        plan, known = account.plan, account.used
+        left = math.exp(-event.latency / account.window_us)  # of what was added with the call
+        total = event.total / math.exp((self.now - start) / account.window_us)
+        amount, added = amount * left, (amount + untold) * left
+        if total < 0.99 * added or known + added - total > plan.burst / 2:  # a new name, or it was lost
+            missing = max(0.0, known + added - max(total, 0.0))
+            self.call_wide(account, event.name, start, missing, False)
+            total = max(total, 0.0) + missing
+        units = account.waiting[0].event.units if account.waiting else 0.0
+        over = min(amount, max(0.0, total - account.most(units)))  # past the allowance: added back
+        if account.held + amount - over < units * left:
+            over = amount  # the rest would cover no request
+        if over > 0:
+            self.call_wide(account, event.name, start, -over, False)
+        account.used, account.heard_at = total - over, self.now
+        account.held += (amount - over) / left
+        account.rate = min(plan.rate, (amount - over) / LEASE_LIFE)
+        account.share = max(0.0, account.share - (amount - over)) if over < amount else 0.0
+        lucky, prior = float(over < amount), self.luck[plan]
+        if account.luck < 0:
+            self.luck[plan], account.luck = prior + PRIOR * (lucky - prior), prior
+        account.luck += LUCK * (lucky - account.luck)
 
     def ask(self, account: Account, customer: int) -> None:  # a lease: what waits, and demand ahead
         room, units = account.bound(self.now), account.waiting[0].event.units
         need = max(0.0, min(units - account.tokens, room))
         ahead = min(max(account.usual * LEASE_LIFE, units), (room - need) / (2 * account.spread)) * self.crowd
-        self.speaks, self.unasked = self.speaks + 0.1 * (1 + self.unasked - self.speaks), 0
-        need *= self.speaks if self.tight(account) else 1.0
         account.asking, window = True, self.now // account.window_us
         name, start = count_name(customer, window), window * account.window_us
-        owed, account.owed = (0.0, account.owed) if self.tight(account) else (account.owed, 0.0)
+        owed, account.owed = account.owed, 0.0
         self.call(account, name, start, need + max(0.0, min(ahead, room - need)), True, owed)
 
     def call(
         self, account: Account, name: int, start: int, amount: float, lease: bool, owed: float = 0.0
     ) -> None:
         self.actions.append(it.AddToCounter(name, amount + owed, min(60 * SECOND, 2 * account.window_us)))
+        self.called(name, account, start, amount, lease, owed)
+
+    def called(
+        self, name: int, account: Account, start: int, amount: float, lease: bool, owed: float
+    ) -> None:
         self.calls.setdefault(name, deque()).append((account, start, amount, lease, owed))
         self.call_at = int(max(self.call_at, self.now - SECOND / self.crowd) + self.pace * self.crowd)
 
@@ -393,29 +490,32 @@
         step = 1.5 if not heard else 0.95 if event.latency <= self.settings.counter.timeout else 1.1
         step = 1.0 if event.outcome is Outcome.RESET else step
         self.crowd = min(self.most, max(1.0, self.crowd * step))
-        account.owed += owed if event.outcome in NEVER_RAN else 0.0  # nothing was added
+        account.fade(self.now)
+        if event.outcome in NEVER_RAN:  # nothing was added
+            account.held -= owed if account.spread > WIDE else 0.0
+            account.owed += owed if account.spread <= WIDE else 0.0
         if not lease:
             return
+        if account.spread > WIDE and heard:
+            self.counted_wide(account, event, start, amount, owed)
         waiting, account.waiting, account.asking = account.waiting, [], False
+        if account.spread > WIDE and heard:
+            for request in waiting:
+                self.admit(request, answered=True)
+            return
         if not heard:
             for request in waiting:
                 self.admit_unheard(request)
             return
         plan, due = account.plan, account.plan.rate * (self.now - start) / SECOND
         raw, upper = plan.burst + due - event.total, account.bound(self.now) - amount
-        if self.tight(account):  # nothing is added back: the total tells what is asked, a draw grants a part
-            need = min(amount, sum(r.event.units for r in waiting))
-            past = event.total - plan.burst / 2  # the store was as likely full as empty when the window began
-            account.chance, account.heard_at = 1.0 if past <= due else due / past, self.now
-            level, over = plan.burst, amount - need if self.fleet.rng.random() < account.chance else amount
-        else:
-            # Units the counter does not know of: burst spent before this window, time spent full, a flush,
-            # use by share while it was silent. Put back where demand matters; harms if two do so at once.
-            unknown = raw - upper if account.usual * account.spread > plan.rate else 0.0
-            unknown, level = unknown if unknown > plan.burst / 8 else 0.0, min(raw, upper)
-            over = min(amount, max(0.0, -level))  # past the allowance: that part is added back
-            if unknown != over:
-                self.call(account, event.name, start, unknown - over, False)
+        # Units the counter does not know of: burst spent before this window, time spent full, a flush,
+        # use by share while it was silent. Put back where demand matters; harms if two do so at once.
+        unknown = raw - upper if account.usual * account.spread > plan.rate else 0.0
+        unknown, level = unknown if unknown > plan.burst / 8 else 0.0, min(raw, upper)
+        over = min(amount, max(0.0, -level))  # past the allowance: that part is added back
+        if unknown != over:
+            self.call(account, event.name, start, unknown - over, False)
         account.level, account.level_at = min(plan.burst, level + over), self.now
         account.tokens += amount - over
         account.share = max(0.0, account.share - (amount - over))  # a part of the same store
