Let a wide customer's last calls weigh more, and remember them for a minute

Heavy customers come to a gateway every 9 s or so, but the account was swept after three windows, 3 to 14 s (brain.py, `handle`), and one refusal moved its luck by 0.3 from a prior near 1, so they went on asking first.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -25,8 +25,9 @@
 EPOCH = 8  # windows that one name of a fading count lasts: its weights grow by e in each, and stay exact
 HOLD = 0.25  # of what a wide customer's store has left: the most that one gateway takes ahead of it
 PATIENCE = 0.1  # of a class's aim that a request may wait until a call to the counter can be made
-LUCK = 0.3  # the weight of the last call in a customer's luck ...
-PRIOR = 0.05  # ... and of its first one in that of its plan's customers
+LUCK = 0.6  # the weight of the last call in a customer's luck ...
+REMEMBERED = 60 * SECOND  # for which a wide customer's luck is kept: each gateway sees few of its requests
+PRIOR = 0.1  # ... and of its first one in that of its plan's customers
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
 TARGET = 0.32  # latency, as a share of the aim, at which a backend counts as full: tails run three times that
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
@@ -98,6 +99,9 @@
         left = math.exp(min(0, self.faded_at - now) / self.window_us)
         self.used, self.held, self.faded_at = self.used * left, self.held * left, now
 
+    def kept(self) -> int:  # how long it is of use after the last request
+        return 3 * self.window_us if self.spread <= WIDE else max(REMEMBERED, 3 * self.window_us)
+
     def most(self, units: float) -> float:
         """Of a fading count: asked without a pause, it grants just the rate; half a request over the burst,
         as what fades between two grants is less than what a store gains."""
@@ -295,7 +299,7 @@
                 self.finish(number, but=attempt)
         if now - self.swept_at > SECOND:  # idle accounts go once their store must be full again
             self.swept_at = now
-            self.accounts = {c: a for c, a in self.accounts.items() if now - a.demand_at < 3 * a.window_us}
+            self.accounts = {c: a for c, a in self.accounts.items() if now - a.demand_at < a.kept()}
         return self.actions
 
     def hand_over(self) -> it.Carried:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -96,6 +96,16 @@
     assert of(g.handle(later, it.TimerFired(1)), it.SendAttempt)
 
 
+def test_calls_at_a_crowded_counter_go_to_customers_that_had_no_refusal_of_late() -> None:
+    g = wide(30)
+    (ask,) = of(g.handle(SECOND, arrival(1, spread=30)), it.AddToCounter)
+    g.handle(SECOND, it.CountAnswered(ask.name, it.Outcome.OK, 1e4, 1000))  # used up many times over
+    now = 30 * SECOND  # fifteen windows later nothing of it is left, but that it asked too much
+    g.crowd, g.call_at = 4.0, now - SECOND // 8  # half of what may be called at one stroke
+    assert not of(g.handle(now, arrival(2, spread=30)), it.AddToCounter)
+    assert of(g.handle(now, arrival(3, customer=8, spread=30)), it.AddToCounter)
+
+
 def test_what_is_sent_without_the_counter_is_told_with_the_next_call() -> None:
     g = wide(30)
     (ask,) = of(g.handle(SECOND, arrival(1, spread=30)), it.AddToCounter)
