Space tries to reach discovery by the fleet's size: together they overbooked it

Each ingress tried again every 1.5 s (net/discovery.py, BACK_OFF). Checked: status and time of each try in the logs of all ingresses. Ruled out: a watch that stalls (no SILENT line in the logs), the ingress's start (0.3 s), a list that cannot be read. Not taken: a random wait before a start's first call, which would only shift the same number of calls.

The list held is used meanwhile, as before.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -104,7 +104,8 @@
     def __init__(self, engine: Engine, maintenance: Maintenance, config: Config, index: int) -> None:
         """`index`: the version of the list that is held."""
         self._engine, self._listings, self._config = engine, maintenance, config
-        self._discovery = Discovery(config.discovery, index, maintenance.listed)
+        size = config.settings.fleet_size
+        self._discovery = Discovery(config.discovery, index, maintenance.listed, size)
         self._counter = self._new_counter(config)
         self._next: Discovery | None = None  # asked for its list; the one in force is kept until it comes
         self._change: asyncio.Task[None] | None = None
@@ -135,7 +136,10 @@
         if config.discovery != (self._next or self._discovery).address:
             if self._next:
                 self._next.stop()
-            self._next = discovery = Discovery(config.discovery, None, lambda x: self._listed(discovery, x))
+            size = config.settings.fleet_size
+            self._next = discovery = Discovery(
+                config.discovery, None, lambda x: self._listed(discovery, x), size
+            )
             self._next.start()
         if config.counter != self._config.counter:
             if self._change:
