--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -16,9 +16,8 @@
 
 SILENT = 3.0  # s with no line: a beat is due every 2 s, and after a reload what is told counts as told in 4 s
 BACK_OFF = (0.1, 1.5)  # s between tries: the first, the longest; what is told late counts as told 4 to 6 s on
-FLEET_TRIES = 4.0  # a second by all ingresses, at the longest waits: where more ask than it can answer, each call
-# has waited too long by its turn, and nobody is answered
-FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first
+FLEET_TRIES = 4.0  # a second by all ingresses, at the longest waits: where more ask than it can answer, each
+# call has waited too long by its turn, and nobody is answered
 CONNECT_TIMEOUT = 1.0
 MAX_LINE = 8 * 1024 * 1024
 
@@ -89,8 +88,8 @@
     ) -> None:
         self.address, self.index, self._changed = address, index, changed
         first, longest = BACK_OFF
-        alone = fleet_size / FLEET_TRIES  # s between this one's tries where each ingress tries in its turn
-        self._tries = BackOff(max(first, FIRST_PART * alone), max(longest, alone))
+        longer = max(1.0, fleet_size / FLEET_TRIES / longest)
+        self._tries = BackOff(first * longer, longest * longer)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
