Deal backends out: each ingress of a large fleet keeps to a part of them

At fault: Fleet.pick in brain.py, which looked at any 16 of all backends.

Mend: gateways in rows of eight deal the backends out among them by a hash of what is the same at every gateway, a new `mark` in the list; parts are powers of two and 12 backends at least. Where a part has no room, all are used. Not taken: slices of a sorted list, which would move as one backend comes or goes.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -34,6 +34,9 @@
 FAILED = 4.0  # times the usual latency: what an error or no answer is taken for
 MEMORY = 5.0  # s that a backend's slowness is remembered: some tens of answers; longer if few come
 LAST_CHANCE = 0.5  # of the usual latency: a further attempt with less time left is work for nothing
+OWN = 12  # backends that a gateway of a large fleet keeps to, at the least: it learns more of each, and the
+# fleet opens fewer connections; another gateway keeps to those that this one leaves
+ROW = 8  # gateways that deal backends out among them: a power of two, as the parts are
 LOOK = 16  # backends looked at for a request: all of a small fleet, of a large one enough to find a good one
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 BUSY = ("queue", "inflight", "util")  # reports that grow with what a backend has to do
@@ -151,6 +154,7 @@
         self.settings, self.rng, self.first = settings, rng, FIRST_LIMIT / settings.fleet_size
         self.backends: dict[int, Backend] = {}
         self.ready: list[Backend] = []
+        self.own: list[Backend] = []  # of these, the ones that this gateway keeps to while they have room
         self.usual = [0.0] * len(settings.classes)  # usual latency of an answer, by class
         self.typical = [1.0] * len(settings.classes)  # what `slow` is on average
         self.out, self.more, self.sends = 0, 0.0, 0.0
@@ -172,6 +176,16 @@
         kept = [b for n, b in self.backends.items() if n in named and b.info.state is not BackendState.GONE]
         self.backends = {b.info.id: b for b in kept}
         self.ready = [b for b in self.backends.values() if b.info.state is BackendState.READY]
+        self.own = self.subset()
+
+    def subset(self) -> list[Backend]:
+        """Every row of gateways deals all backends out among its own, by a draw of its own, so that each
+        backend has as many gateways as any other. As parts come in powers of two, a list that shrinks joins
+        another part to this one, and connections stay of use."""
+        me, parts, size = self.settings.me, 1, min(ROW, self.settings.fleet_size)
+        while 2 * parts <= min(len(self.ready) / OWN, size):
+            parts *= 2
+        return [b for b in self.ready if (count_name(b.info.mark or b.info.id, me // ROW) ^ me) % parts == 0]
 
     def warmth(self, backend: Backend, now: int) -> float:  # the part of its capacity it has for sure
         safety, started = self.settings.safety, backend.info.started
@@ -189,8 +203,19 @@
         return backend.credit >= 1 and backend.out < max(1.0, backend.limit * warmth)
 
     def pick(self, now: int, cls: int, allowed: Callable[[Backend], bool]) -> Backend | None:
+        best = self.pick_of(self.own, now, cls, allowed) if self.used() < 1 else None
+        if best is None and len(self.own) < len(self.ready) and self.used() < 1:
+            best = self.pick_of(self.ready, now, cls, allowed)
+        self.sends += 1 / max(1, len(self.own))
+        if best:
+            best.out, self.out, best.credit = best.out + 1, self.out + 1, best.credit - 1
+        return best
+
+    def pick_of(
+        self, among: list[Backend], now: int, cls: int, allowed: Callable[[Backend], bool]
+    ) -> Backend | None:
         best, best_cost, far = None, math.inf, self.settings.cross_zone_price > 0
-        some = self.rng.sample(self.ready, min(LOOK, len(self.ready))) if self.used() < 1 else []
+        some = self.rng.sample(among, min(LOOK, len(among)))
         fresh = {b.info.id: b.load for b in some if now - b.load_at < SECOND}  # older reports tell nothing
         mean = sum(fresh.values()) / max(1, len(fresh)) or 1.0
         for backend in some:
@@ -204,9 +229,6 @@
             cost *= 1.1 if far and backend.info.zone != self.settings.zone else 1.0  # breaks ties
             if cost < best_cost:
                 best, best_cost = backend, cost
-        self.sends += 1 / max(1, len(self.ready))
-        if best:
-            best.out, self.out, best.credit = best.out + 1, self.out + 1, best.credit - 1
         return best
 
     def ended(self, backend: Backend, now: int, cls: int, outcome: Outcome, latency: int) -> None:
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -137,6 +137,7 @@
     kind: int
     weight: float
     started: int  # 0: long ago
+    mark: int = 0  # the same at every gateway; 0: its id is
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import time
+import zlib
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict, dataclass
@@ -470,8 +471,9 @@
     def _entry(self, entry: Entry, number: int) -> it.ListedBackend:
         zone, kind = self.names.zones.get(entry.zone, 0), self.names.kinds.get(entry.kind, 0)
         return it.ListedBackend(
-            number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us
-        )
+            number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us,
+            zlib.crc32(entry.name.encode()),
+        )  # fmt: skip
 
 
 class Names:
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -219,3 +219,15 @@
     again = {"name": "s-3", "address": "127.0.0.1:1", "status": "up"}
     world.engine.listed(Listing({"index": 60, "snapshot": False, "endpoints": [again]}))
     assert world.script.of(it.BackendsListed)[-1].backends[0].id == 51
+
+
+def test_a_backend_has_the_same_mark_whenever_it_was_first_listed() -> None:
+    def marks(names: list[str]) -> dict[str, int]:
+        world = World(Script(sender()))
+        entries = [{"name": name, "address": "127.0.0.1:1", "status": "up"} for name in names]
+        world.engine.listed(Listing({"index": 1, "snapshot": True, "endpoints": entries}))
+        (event,) = world.script.of(it.BackendsListed)
+        return {name: b.mark for name, b in zip(names, event.backends, strict=True)}
+
+    assert marks(["s-1", "s-2", "s-3"]) == marks(["s-3", "s-1", "s-2"])
+    assert len(set(marks(["s-1", "s-2", "s-3"]).values())) == 3
