--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -18,6 +18,8 @@
 BACK_OFF = (0.1, 1.5)  # s between tries: the first, the longest; what is told late counts as told 4 to 6 s on
 FLEET_TRIES = 4.0  # a second by all ingresses, at the longest waits: where more ask than it can answer, each
 # call has waited too long by its turn, and nobody is answered
+FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first; with a tenth of it,
+# a second round of tries after a release came before discovery had got through the first
 CONNECT_TIMEOUT = 1.0
 MAX_LINE = 8 * 1024 * 1024
 
@@ -88,8 +90,10 @@
     ) -> None:
         self.address, self.index, self._changed = address, index, changed
         first, longest = BACK_OFF
-        longer = max(1.0, fleet_size / FLEET_TRIES / longest)
-        self._tries = BackOff(first * longer, longest * longer)
+        longer = fleet_size / FLEET_TRIES  # s between one ingress's tries
+        if longer > longest:
+            first, longest = FIRST_PART * longer, longer
+        self._tries = BackOff(first, longest)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
