Call the counter as usual soon after a silence: prompt answers speak for calls not made

Cause: brain.py, count_answered: crowding falls by 5% an answer; at its top of 32 an ingress makes one call a second, so a fleet of forty comes back in half a minute, the later the larger it is. Ruled out: a slow counter, connections that stay down (all calls answered from 12 s on), backends (half used).

Mend: an answer within a quarter of the time-out, three seconds after the last call lost, counts for as many as were not made. Failed guess: at once, or after one second; the test of a counter that turns some calls away then fails.

Without the mend (PROMPT = 0) the new test fails.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -18,8 +18,9 @@
 LEASE_LIFE = 1.0  # s of demand taken ahead: long enough to save calls, short enough not to strand units
 OFFSETS = (1, 3, 7)  # slots looked at: d_0, then doubling; N = 3 retries, a client's usual most; S = the last
 SPARE = 0.6  # part of the bound under which a fleet has room for second copies and paid units beyond a quota
+CALM = 3 * SECOND  # without a call lost: the counter turns nobody away now
+PROMPT = 0.25  # of the counter's time-out: within it, nothing had waited there
 CALLS_OUT = 64.0  # calls to the counter in its time-out by all gateways: more than a healthy one has waiting
-CROWDED = 1.2  # calls turned away or unanswered of late: some in ten, and not just one
 KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
 WIDE = 12  # gateways a customer: with more, each knows next to nothing of the store but from the counter
 EPOCH = 8  # windows that one name of a fading count lasts: its weights grow by e in each, and stay exact
@@ -290,6 +291,7 @@
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
         self.calls: dict[int, deque[tuple[Account, int, float, bool, float]]] = {}  # by name, in order
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
+        self.lost_at = -60 * SECOND  # a call to the counter that was turned away or not answered
         self.luck = dict.fromkeys(settings.plans, 1.0)  # of a wide customer of whom nothing is known
         self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
         self.most = max(1.0, min(32.0, 1.5 * SECOND / max(1.0, self.pace)))  # a trial call a second or so
@@ -515,6 +517,11 @@
         # A connection that broke tells nothing of how busy the counter is.
         step = 1.5 if not heard else 0.95 if event.latency <= self.settings.counter.timeout else 1.1
         step = 1.0 if event.outcome is Outcome.RESET else step
+        # A prompt one, after none was lost, speaks for the calls not made meanwhile: else many gateways, each
+        # of which makes one a second after a silence, would come back the later the more they are.
+        self.lost_at = self.lost_at if heard else self.now
+        prompt = event.latency <= PROMPT * self.settings.counter.timeout
+        step = step**self.crowd if prompt and self.now - self.lost_at > CALM else step
         self.crowd = min(self.most, max(1.0, self.crowd * step))
         account.fade(self.now)
         if event.outcome in NEVER_RAN:  # nothing was added
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -245,3 +245,18 @@
     assert g.accounts[7].owed == 2.0
     (add,) = of(g.handle(3 * SECOND, arrival(9)), it.AddToCounter)
     assert g.accounts[7].owed == 0.0 and add.amount >= 3.0
+
+
+@pytest.mark.parametrize(("took", "recovered"), [(3_000, True), (20_000, False)])
+def test_calls_come_back_soon_after_a_silence_if_answers_are_prompt(took: int, recovered: bool) -> None:
+    """Forty gateways went on with one call a second each for half a minute, though answers took a few ms."""
+    g = Gateway(settings(fleet_size=40), 1)
+    g.crowd = g.most
+    calls = []
+    for n in range(800):  # a hundred customers in a second
+        now = SECOND + n * 10_000
+        for add in of(g.handle(now, arrival(n, customer=n)), it.AddToCounter):
+            calls.append(now)
+            g.handle(now + took, it.CountAnswered(add.name, it.Outcome.OK, 1.0, took))
+    last = sum(at > 8 * SECOND for at in calls)
+    assert last > 20 if recovered else last < 10
