Open a watch that was cut off or fell silent anew at once, in a fleet of any size

The agent answers each new watch within 1 ms, with a line even where nothing has changed; while discovery is down it keeps a call unanswered and answers it at the return (at 7.742 s to a watch opened at 6.825 s), so only a watch that is open then hears in time.

At fault: Discovery.__init__ and _keep_watching, which waited FLEET_TRIES' time after every end of a watch: at 200 ingresses the first wait was 6 to 19 s, and 19 to 75 s in the end.

--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -7,6 +7,7 @@
 import json
 import logging
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import Any, cast
 
 import httptools
@@ -14,8 +15,11 @@
 from ironledge.net.http import MAX_HEAD
 from ironledge.net.sockets import BackOff
 
-SILENT = 3.0  # s with no line: a beat is due every 2 s, and after a reload what is told counts as told in 4 s
-BACK_OFF = (0.1, 1.5)  # s between tries: the first, the longest; what is told late counts as told 4 to 6 s on
+SILENT = 3.0  # s with no line: a beat is due every 2 s, and what a silent watch misses counts as told in 6 s
+CUT = (0.02, 0.1)  # s between tries where no answer came: the first, the longest. The agent is on this
+# machine: a try costs nobody anything, and what the agent has counts as told, watched or not
+UNREADABLE = (0.1, 1.5)  # ... where one came that is no list: it may be the same again
+TURNED_AWAY = (0.1, 1.5)  # ... where discovery has more callers than it can answer; in a large fleet longer:
 FLEET_TRIES = 4.0  # a second by all ingresses, at the longest waits: where more ask than it can answer, each
 # call has waited too long by its turn, and nobody is answered
 FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first; with a tenth of it,
@@ -78,6 +82,15 @@
         return made
 
 
+class Ended(Enum):
+    """How a watch came to its end."""
+
+    CUT = auto()
+    SILENT = auto()
+    UNREADABLE = auto()
+    TURNED_AWAY = auto()
+
+
 class Discovery:
     """`index` is the version held; with none, the whole list is asked for first."""
 
@@ -89,11 +102,16 @@
         fleet_size: int = 1,
     ) -> None:
         self.address, self.index, self._changed = address, index, changed
-        first, longest = BACK_OFF
+        self.heard = asyncio.Event()  # set once a list has been told
+        first, longest = TURNED_AWAY
         longer = fleet_size / FLEET_TRIES  # s between one ingress's tries
         if longer > longest:
             first, longest = FIRST_PART * longer, longer
-        self._tries = BackOff(first, longest)
+        self._tries = {
+            Ended.CUT: BackOff(*CUT),
+            Ended.UNREADABLE: BackOff(*UNREADABLE),
+            Ended.TURNED_AWAY: BackOff(first, longest),
+        }
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -103,14 +121,16 @@
         if self._task:
             self._task.cancel()
 
-    def told(self, line: bytes) -> None:
-        listing = Listing(json.loads(line))
+    def told(self, raw: Any) -> None:
+        listing = Listing(raw)
         self.index = listing.index
         self._changed(listing)
+        self.heard.set()
 
     async def _keep_watching(self) -> None:
-        loop, tries = asyncio.get_running_loop(), self._tries
+        loop = asyncio.get_running_loop()
         while True:
+            ended, heard = Ended.CUT, False
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
                     transport, watch = await loop.create_connection(lambda: Watch(self), *self.address)
@@ -121,16 +141,21 @@
                     await watch.closed.wait()
                 finally:
                     transport.abort()
-                if watch.heard:
-                    tries.well()
-            await asyncio.sleep(tries.wait())
+                ended, heard = watch.ended, watch.heard
+            if heard:
+                for why in self._tries.keys() - {ended}:
+                    self._tries[why].well()
+                if ended is Ended.CUT:
+                    self._tries[ended].well()
+            if ended is not Ended.SILENT:  # that was a wait: what comes next must find an open watch
+                await asyncio.sleep(self._tries[ended].wait())
 
 
 class Watch(asyncio.Protocol):
     transport: asyncio.Transport
 
     def __init__(self, discovery: Discovery) -> None:
-        self.heard, self.closed = False, asyncio.Event()
+        self.heard, self.closed, self.ended = False, asyncio.Event(), Ended.CUT
         self._discovery, self._loop = discovery, asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._timer: asyncio.TimerHandle | None = None
@@ -155,24 +180,32 @@
         try:
             self._parser.feed_data(data)
             if self._parser.get_status_code() >= 300:
-                raise ValueError("not a list")
+                self._end(Ended.TURNED_AWAY, "not a list")
+                return
             if self._head >= 0:
                 self._head += len(data)
             if len(self._rest) > MAX_LINE or self._head > MAX_HEAD:
                 raise ValueError("too long")
             lines, self._lines = self._lines, []
             for line in lines:
-                self.heard = True
-                if line.strip():
-                    self._discovery.told(line)
+                self._line(line)
             if self._whole:  # the list that was asked for first; the watch goes on from its version
                 self._whole = False
                 if self._discovery.index is None:
-                    raise ValueError("no list")
+                    raise ValueError("no whole list")
                 self._ask()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            log.warning("discovery: %s", error)
-            self.transport.abort()
+            self._end(Ended.UNREADABLE, str(error))
+
+    def _line(self, line: bytes) -> None:
+        if line.strip():
+            self._discovery.told(json.loads(line))
+        self.heard = True
+
+    def _end(self, how: Ended, why: str) -> None:
+        log.warning("discovery: %s", why)
+        self.ended = how
+        self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._timer:
@@ -183,8 +216,7 @@
         """A cut-off discovery says nothing and the connection stays open: missing beats are the only sign."""
         left = self._last + SILENT - self._loop.time()
         if left <= 0:
-            log.warning("discovery: silent for %.0f s, watching anew", SILENT)
-            self.transport.abort()
+            self._end(Ended.SILENT, f"silent for {SILENT:.0f} s, watching anew")
             return
         self._timer = self._loop.call_later(left, self._check)
 
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -358,7 +358,7 @@
     async with asyncio.timeout(10):
         await enough.wait()
     watching.stop()
-    first, longest = discovery_module.BACK_OFF if size == 3 else (2.5, 10.0)
+    first, longest = discovery_module.TURNED_AWAY if size == 3 else (2.5, 10.0)
     for tried, wait in enumerate(waits[:6]):
         usual = min(longest, first * 2**tried)
         assert 0.5 * usual <= wait <= 1.5 * usual
--- /dev/null
+++ b/tests/test_net_watch.py
@@ -0,0 +1,164 @@
+"""The watch over loopback connections: ends, silences and unreadable lists at the worst moments."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+import pytest_asyncio
+
+from ironledge.net import discovery as discovery_module
+from ironledge.net.discovery import Discovery, Listing
+from tests.net_helpers import HOST, Peer, PeerServer
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LARGE = 200  # ingresses
+
+
+def told(index: int, whole: bool, **status: str) -> dict[str, Any]:
+    endpoints = [{"name": n, "address": f"{HOST}:1", "status": s} for n, s in status.items()]
+    return {"index": index, "snapshot": whole, "endpoints": endpoints}
+
+
+def text(raw: dict[str, Any], indent: int | None = None) -> bytes:
+    return json.dumps(raw, indent=indent).encode() + b"\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def as_list(data: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data)
+
+
+class Agent(PeerServer):
+    """Answers each call by the next of `replies`, then no more. None: the connection is reset."""
+
+    def __init__(self, *replies: bytes | None) -> None:
+        super().__init__(self._answer)
+        self.replies = list(replies)
+        self.asked: list[bytes] = []
+
+    def _answer(self, peer: Peer) -> None:
+        while b"\r\n\r\n" in peer.data:
+            call, _, peer.data = peer.data.partition(b"\r\n\r\n")
+            self.asked.append(call.partition(b" HTTP/1.1")[0])
+            reply = self.replies.pop(0) if self.replies else b""
+            if reply is None:
+                peer.transport.abort()
+                return
+            peer.transport.write(reply)
+
+
+class Watched:
+    def __init__(self, agent: Agent, index: int | None, size: int = LARGE) -> None:
+        self.told: list[Listing] = []
+        self.changed = asyncio.Event()
+        self.discovery = Discovery((HOST, agent.port), index, self._changed, size)
+        self.discovery.start()
+
+    def _changed(self, listing: Listing) -> None:
+        self.told.append(listing)
+        self.changed.set()
+
+    async def heard(self, count: int) -> list[tuple[int, bool, list[str]]]:
+        async with asyncio.timeout(10):
+            while len(self.told) < count:
+                self.changed.clear()
+                await self.changed.wait()
+        return [(x.index, x.whole, [e.name + "=" + e.status for e in x.entries]) for x in self.told]
+
+
+@pytest_asyncio.fixture
+async def waits(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[list[float]]:
+    """The waits between tries, none of which takes any time here."""
+    found: list[float] = []
+    sleep = asyncio.sleep
+
+    async def slept(wait: float) -> None:
+        found.append(wait)
+        await sleep(0)
+
+    monkeypatch.setattr(discovery_module.asyncio, "sleep", slept)
+    yield found
+
+
+async def test_a_watch_that_is_reset_is_opened_at_once_in_a_large_fleet(waits: list[float]) -> None:
+    """What the agent has counts as told, watched or not: 6 to 19 s were waited here."""
+    agent = Agent(HEAD + chunk(text(told(42, False))), None, None, None, HEAD)
+    await agent.start()
+    watched = Watched(agent, 41)
+    await watched.heard(1)
+    agent.peers[0].transport.abort()
+    await agent.until(lambda: len(agent.asked) == 5)
+    assert agent.asked[1:] == [b"GET /discovery/hosts?watch=1&from=42"] * 4
+    first, longest = discovery_module.CUT
+    assert len(waits) == 4 and waits[0] <= 1.5 * first and max(waits) <= 1.5 * longest
+    watched.discovery.stop()
+    agent.stop()
+
+
+async def test_a_silent_watch_is_opened_anew_without_a_wait_in_a_large_fleet(
+    waits: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """However often: what the agent gets at discovery's return goes to the watch that is open then."""
+    monkeypatch.setattr(discovery_module, "SILENT", 0.05)
+    agent = Agent(HEAD + chunk(text(told(42, False))))
+    await agent.start()
+    watched = Watched(agent, 41)
+    await agent.until(lambda: len(agent.asked) == 4)
+    agent.peers[3].transport.write(HEAD + chunk(text(told(43, False, a="draining"))))
+    assert (await watched.heard(2))[1] == (43, False, ["a=draining"])
+    assert waits == []
+    watched.discovery.stop()
+    agent.stop()
+
+
+async def test_a_refused_watch_is_tried_often_and_one_turned_away_seldom_in_a_large_fleet(
+    waits: list[float],
+) -> None:
+    busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    agent = Agent(busy, busy, HEAD + chunk(text(told(42, False))))
+    await agent.start()
+    watched = Watched(agent, 41)
+    await watched.heard(1)
+    assert len(waits) == 2 and min(waits) > 6  # it has too many callers: together they keep it so
+    agent._server.close()
+    agent.peers[2].transport.abort()
+    while len(waits) < 6:
+        await asyncio.sleep(0)
+    assert max(waits[2:6]) <= 1.5 * discovery_module.CUT[1]
+    watched.discovery.stop()
+    agent.stop()
+
+
+async def test_a_reset_between_list_and_watch_loses_no_change(waits: list[float]) -> None:
+    """The call for the watch goes out on a connection that is closed under it."""
+    change = HEAD + chunk(text(told(6, False, a="draining")))
+    agent = Agent(as_list(text(told(5, True, a="up"))), None, change)
+    await agent.start()
+    watched = Watched(agent, None)
+    assert await watched.heard(2) == [(5, True, ["a=up"]), (6, False, ["a=draining"])]
+    watch = b"GET /discovery/hosts?watch=1&from=5"
+    assert agent.asked == [b"GET /discovery/hosts", watch, watch]
+    assert len(waits) == 1 and waits[0] <= 1.5 * discovery_module.CUT[0]
+    watched.discovery.stop()
+    agent.stop()
+
+
+async def test_a_watch_cut_in_the_middle_of_a_line_goes_on_from_the_last_one(waits: list[float]) -> None:
+    half = text(told(43, False, a="draining"))[:40]
+    agent = Agent(HEAD + chunk(text(told(42, False, a="up"))) + chunk(half))
+    await agent.start()
+    watched = Watched(agent, 41)
+    await watched.heard(1)
+    agent.replies = [HEAD + chunk(text(told(43, False, a="draining")))]
+    agent.peers[0].transport.close()
+    assert (await watched.heard(2))[1] == (43, False, ["a=draining"])
+    assert agent.asked[1] == b"GET /discovery/hosts?watch=1&from=42"
+    watched.discovery.stop()
+    agent.stop()
