Read lists that come indented, and refuse those that name no address or weight

Ruled out: a list that is wrong in itself (put together, it parses).

At fault: Watch.on_body and data_received, which took each line for a document. Now a line that is no document by itself but opens more brackets than it closes is held until they are closed; a blank line in the middle, or MAX_LINE, ends it as unreadable. What cannot be a list (1e999, NaN, a port over 65535, nesting without end) raised past the handler or at the dial; it is refused at the list now.

--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -6,6 +6,8 @@
 import copy
 import json
 import logging
+import math
+import re
 from collections.abc import Callable
 from enum import Enum, auto
 from typing import Any, cast
@@ -25,7 +27,9 @@
 FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first; with a tenth of it,
 # a second round of tries after a release came before discovery had got through the first
 CONNECT_TIMEOUT = 1.0
+MAX_PORT = 65535
 MAX_LINE = 8 * 1024 * 1024
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 log = logging.getLogger(__name__)
 
@@ -43,9 +47,13 @@
         address = str(raw["address"] if self.status != "removed" else raw.get("address", ":0"))
         host, _, port = address.rpartition(":")
         self.address = (host, int(port))
+        if not 0 <= self.address[1] <= MAX_PORT:
+            raise ValueError(f"port {port} is none")
         self.zone, self.kind = str(raw.get("zone", "")), str(raw.get("type", ""))
         self.group, self.weight = int(raw.get("group", 0)), float(raw.get("weight", 1.0))
         self.since_us = round(float(raw.get("since_ms", 0)) * 1000)
+        if not math.isfinite(self.weight):
+            raise ValueError(f"weight {self.weight} is none")
 
     def told(self) -> dict[str, Any]:
         """As discovery would tell it."""
@@ -72,7 +80,7 @@
         try:
             self.index, self.whole = int(raw["index"]), bool(raw["snapshot"])
             self.entries = [Entry(e) for e in raw["endpoints"]]
-        except (KeyError, TypeError, AttributeError) as error:
+        except (KeyError, TypeError, AttributeError, OverflowError) as error:
             raise ValueError(f"list of backends: {error!r}") from None
 
     @classmethod
@@ -82,6 +90,39 @@
         return made
 
 
+class Document:
+    """JSON that comes in lines: mostly one to each, but an indented one has many."""
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []
+        self._size = self._depth = 0
+
+    @property
+    def begun(self) -> bool:
+        return bool(self._lines)
+
+    def add(self, line: bytes) -> Any:
+        """What the line completes, or None where more is to come; ValueError where that can be nothing."""
+        if not self._lines:
+            try:
+                return json.loads(line)
+            except ValueError:
+                if self._deeper(line) <= 0:
+                    raise
+        self._lines.append(line)
+        self._size += len(line)
+        self._depth += self._deeper(line)
+        if self._depth > 0 and line.strip() and self._size <= MAX_LINE:
+            return None
+        text, self._lines, self._size, self._depth = b"\n".join(self._lines), [], 0, 0
+        return json.loads(text)
+
+    @staticmethod
+    def _deeper(line: bytes) -> int:
+        bare = STRING.sub(b"", line)  # a string never goes over the end of a line
+        return sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
+
+
 class Ended(Enum):
     """How a watch came to its end."""
 
@@ -161,6 +202,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._rest, self._head, self._last = b"", 0, 0.0
         self._lines: list[bytes] = []
+        self._document = Document()
         self._watching = self._whole = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -191,15 +233,17 @@
                 self._line(line)
             if self._whole:  # the list that was asked for first; the watch goes on from its version
                 self._whole = False
-                if self._discovery.index is None:
+                if self._document.begun or self._discovery.index is None:
                     raise ValueError("no whole list")
                 self._ask()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError, RecursionError) as error:
             self._end(Ended.UNREADABLE, str(error))
 
     def _line(self, line: bytes) -> None:
-        if line.strip():
-            self._discovery.told(json.loads(line))
+        if line.strip() or self._document.begun:
+            if (raw := self._document.add(line)) is None:
+                return
+            self._discovery.told(raw)
         self.heard = True
 
     def _end(self, how: Ended, why: str) -> None:
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -11,7 +12,7 @@
 import pytest_asyncio
 
 from ironledge.net import discovery as discovery_module
-from ironledge.net.discovery import Discovery, Listing
+from ironledge.net.discovery import Discovery, Document, Listing
 from tests.net_helpers import HOST, Peer, PeerServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -162,3 +163,55 @@
     assert agent.asked[1] == b"GET /discovery/hosts?watch=1&from=42"
     watched.discovery.stop()
     agent.stop()
+
+
+@pytest.mark.parametrize("cut", [1, 7, 10_000])
+async def test_an_indented_list_is_read_whole_or_watched_however_it_is_cut(cut: int) -> None:
+    """After a reload it was asked for ten times a second, and never understood."""
+    first, second = told(5, True, a="up", **{'b{"[': "up"}), told(6, False, a="draining")
+    lines = text(first, 2)
+    stream = text(second, 2) + b"\n" + text(told(7, False, a="up"), 1)
+    parts = [stream[at : at + cut] for at in range(0, len(stream), cut)]
+    agent = Agent(as_list(lines), HEAD + b"".join(map(chunk, parts)))
+    await agent.start()
+    watched = Watched(agent, None)
+    assert await watched.heard(3) == [
+        (5, True, ["a=up", 'b{"[=up']), (6, False, ["a=draining"]), (7, False, ["a=up"]),
+    ]  # fmt: skip
+    watched.discovery.stop()
+    agent.stop()
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b'{\n"index": 9,\n\n"snapshot": true}\n', b'{\n"index": 9}}\n', b"{\n]\n",
+        b"[" * 100_000 + b"]" * 100_000 + b"\n",
+        b'{"index":1e999,"snapshot":true,"endpoints":[]}\n',
+        text(told(9, True, a="lost")), text(told(9, True, a="up")).replace(b":1\"", b":70000\""),
+        text(told(9, True, a="up")).replace(b'"status"', b'"weight": NaN, "status"'),
+    ],
+)  # fmt: skip
+async def test_an_unreadable_list_is_logged_and_refused_and_the_watch_opened_anew(
+    waits: list[float], caplog: pytest.LogCaptureFixture, bad: bytes
+) -> None:
+    good = HEAD + chunk(text(told(42, False, a="up")))
+    agent = Agent(good + chunk(bad), HEAD + chunk(bad), HEAD + chunk(bad), good)
+    await agent.start()
+    with caplog.at_level(logging.WARNING):
+        watched = Watched(agent, 41)
+        assert await watched.heard(2) == [(42, False, ["a=up"])] * 2
+    assert len(caplog.records) == 3 and len(waits) == 3
+    assert waits[2] > 1.3 * waits[0] > 0  # the same may come again: asked for ever less often
+    watched.discovery.stop()
+    agent.stop()
+
+
+def test_a_document_that_ends_nowhere_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "MAX_LINE", 1000)
+    document = Document()
+    assert document.add(b"[") is None
+    with pytest.raises(ValueError):
+        for _ in range(1000):
+            document.add(b"1,")
+    assert not document.begun
