Start without the list last held where that cannot be read

Seen: by reading, then a test: a known list that is no list ended the start with 'ironledge: list of backends: ...'. At fault: read_config, which took Listing(known)'s error for one of the configuration. A known list is a help only; the whole list is asked for in its place.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -57,7 +57,7 @@
     memory_mb: float
     inherited: int | None  # the descriptor of the clients' listening socket, where the platform holds it
     shared: str  # the folder that a process started beside this one sees, too
-    known: Listing
+    known: Listing | None  # as last held; None where it cannot be read
     settings: it.Settings
     raw: dict[str, Any]  # the settings as they came
     conn_idle: int
@@ -70,13 +70,21 @@
     return host, int(port)
 
 
+def _known(raw: Any) -> Listing | None:
+    """What was held last is a help, no more: discovery tells the list itself."""
+    try:
+        return Listing({"index": 0, "snapshot": True, "endpoints": []} if raw is None else raw)
+    except ValueError as error:
+        log.warning("known: not understood, asking for the whole list: %s", error)
+        return None
+
+
 def read_config(path: str, env: Mapping[str, str]) -> Config:
     """The file, but for what `env` names. At SIGHUP the file alone counts: `env` is of the start."""
     try:
         top = json.loads(Path(path).read_bytes())
         raw = top["settings"]
         admin = env.get("EDGE_ADMIN") or top.get("admin")
-        known = top.get("known") or {"index": 0, "snapshot": True, "endpoints": []}
         return Config(
             listen=_address(env.get("EDGE_LISTEN") or top["listen"], "listen"),
             admin=_address(admin, "admin") if admin else None,
@@ -87,7 +95,7 @@
             shared=env.get("TMPDIR", ""),
             sockets=int(top.get("limits", {}).get("sockets", 1024)),
             memory_mb=float(top.get("limits", {}).get("memory_mb", 64)),
-            known=Listing(known),
+            known=_known(top.get("known")),
             settings=settings_from_json(json.dumps(raw).encode()),
             raw=raw,
             conn_idle=int(raw["ceilings"].get("conn_idle", 15_000_000)),
@@ -98,11 +106,17 @@
         raise ConfigError(str(error)) from None
 
 
+async def _within(seconds: float, event: asyncio.Event) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+
+
 class Sources:
     """The discovery and the counter in force, and the change to others at SIGHUP."""
 
-    def __init__(self, engine: Engine, maintenance: Maintenance, config: Config, index: int) -> None:
-        """`index`: the version of the list that is held."""
+    def __init__(self, engine: Engine, maintenance: Maintenance, config: Config, index: int | None) -> None:
+        """`index`: the version of the list that is held, if one is."""
         self._engine, self._listings, self._config = engine, maintenance, config
         size = config.settings.fleet_size
         self._discovery = Discovery(config.discovery, index, maintenance.listed, size)
@@ -123,9 +137,7 @@
     async def counted(self, within: float) -> None:
         """Returns once the counter can be asked, or after that many seconds."""
         if self._counter:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(within):
-                    await self._counter.connected.wait()
+            await _within(within, self._counter.connected)
 
     def reload(self, path: str) -> None:
         try:
@@ -159,9 +171,7 @@
         counter, old = self._new_counter(config), self._counter
         try:
             if counter:
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(LEAVE_COUNTER):
-                        await counter.connected.wait()
+                await _within(LEAVE_COUNTER, counter.connected)
         except asyncio.CancelledError:  # yet another configuration, or the end
             if counter:
                 counter.stop()
@@ -214,8 +224,9 @@
         told = await self.handover.find() if self.handover else None
         if told is not None:
             known = self._take_up(told) or known
-        self.maintenance.listed(known, it.ListKind.CACHED)
-        self.sources = Sources(self.engine, self.maintenance, config, known.index)
+        if known:
+            self.maintenance.listed(known, it.ListKind.CACHED)
+        self.sources = Sources(self.engine, self.maintenance, config, known.index if known else None)
         if told is not None and self.handover:
             await self.sources.counted(COUNTER_WAIT)
             gc.collect()
