Hear what the agent has before the first client is let in

Checked with the probe: the agent answers a new watch within 1 ms, also where nothing has changed. At fault: Ingress.start, which listened right after the watch was begun. It now waits for the first line, 0.3 s at most: a silent agent has nothing to tell and stops no start.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -34,6 +34,7 @@
 ACCEPTS_ON = 0.55  # s after SIGTERM: new connections go on coming for 0.4 s
 LONGEST_STOP = 3.0  # s: the longest deadline that the platform waits for, and ...
 STOP_MARGIN = 0.4  # ... what it waits beyond that, less a margin
+AGENT_WAIT = 0.3  # s that a start waits for the list: the agent on this machine has it at once, or is silent
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
 LEAVE_COUNTER = 1.0  # s after SIGHUP: the old counter closes its connections after 1.5 s
@@ -134,6 +135,10 @@
         counter.start()
         return counter
 
+    async def listed(self, within: float) -> None:
+        """Returns once discovery has told what has changed, or after that many seconds."""
+        await _within(within, self._discovery.heard)
+
     async def counted(self, within: float) -> None:
         """Returns once the counter can be asked, or after that many seconds."""
         if self._counter:
@@ -227,6 +232,7 @@
         if known:
             self.maintenance.listed(known, it.ListKind.CACHED)
         self.sources = Sources(self.engine, self.maintenance, config, known.index if known else None)
+        await self.sources.listed(AGENT_WAIT)
         if told is not None and self.handover:
             await self.sources.counted(COUNTER_WAIT)
             gc.collect()
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -6,14 +6,17 @@
 import json
 import logging
 from collections.abc import AsyncIterator
+from pathlib import Path
 from typing import Any
 
 import pytest
 import pytest_asyncio
 
+from ironledge import __main__ as main_module
 from ironledge.net import discovery as discovery_module
 from ironledge.net.discovery import Discovery, Document, Listing
 from tests.net_helpers import HOST, Peer, PeerServer
+from tests.test_net_main import config
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 LARGE = 200  # ingresses
@@ -215,3 +218,53 @@
         for _ in range(1000):
             document.add(b"1,")
     assert not document.begun
+
+
+# The start.
+
+
+def made_ingress(tmp_path: Path, agent: PeerServer) -> main_module.Ingress:
+    known = told(41, True, leaving="up", staying="up")
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config(known=known, discovery=f"{HOST}:{agent.port}")))
+    return main_module.Ingress(main_module.read_config(str(path), {}))
+
+
+async def test_a_start_takes_no_client_before_it_knows_what_the_agent_has(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(main_module, "AGENT_WAIT", 10.0)
+    agent = Agent(HEAD + chunk(text(told(42, False, leaving="draining"))))
+    await agent.start()
+    ingress = made_ingress(tmp_path, agent)
+    before: list[dict[str, str]] = []
+    listen = ingress.listener.listen
+
+    async def listened(host: str, port: int, inherited: int | None = None) -> int:
+        before.append({name: entry.status for name, entry in ingress.maintenance.entries.items()})
+        return await listen(host, port, inherited)
+
+    monkeypatch.setattr(ingress.listener, "listen", listened)
+    await ingress.start()
+    assert before == [{"leaving": "draining", "staying": "up"}]
+    await stopped(ingress)
+    agent.stop()
+
+
+async def test_a_silent_agent_stops_no_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(main_module, "AGENT_WAIT", 0.01)
+    agent = Agent()
+    await agent.start()
+    ingress = made_ingress(tmp_path, agent)
+    await ingress.start()
+    assert ingress.ready() and ingress.maintenance.entries["leaving"].status == "up"
+    await stopped(ingress)
+    agent.stop()
+
+
+async def stopped(ingress: main_module.Ingress) -> None:
+    assert ingress.sources
+    ingress.sources.stop()
+    ingress.listener.stop()
+    ingress.backends.stop()
+    ingress.admin.stop()
