Take up the other process's state before a call that comes right behind it

Seen: by reading, then a test with both lines in one read: an operators' call at the old process, sent on as a note right behind its answer to hello, was carried out first and then undone, as start() took the answer up a turn of the loop later: a backend taken out got requests from the new process. At fault: Handover.find and Ingress.start. The channel now hands the answer over where it is read, so lines take effect in their order. Ruled out: a note behind the answer to take (it is not laid over by what follows).

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -218,6 +218,7 @@
         upgradable = config.inherited is not None and config.shared
         self.handover = Handover(self, config.shared) if upgradable else None
         self._leaving: asyncio.Task[None] | None = None
+        self._told: Listing | None = None  # by the process that this one takes over from
 
     async def start(self) -> None:
         """Operators are answered first, whatever else takes its time. Where another process serves, it goes
@@ -226,9 +227,8 @@
         if config.admin:
             port = await self.admin.listen(*config.admin)
             log.info("operators call at %s:%d", config.admin[0], port)
-        told = await self.handover.find() if self.handover else None
-        if told is not None:
-            known = self._take_up(told) or known
+        told = await self.handover.find(self._take_up) if self.handover else None
+        known = self._told or known
         if known:
             self.maintenance.listed(known, it.ListKind.CACHED)
         self.sources = Sources(self.engine, self.maintenance, config, known.index if known else None)
@@ -259,14 +259,12 @@
 
     # The other process, at an upgrade.
 
-    def _take_up(self, told: dict[str, Any]) -> Listing | None:
+    def _take_up(self, told: dict[str, Any]) -> None:
         try:
-            known = self.maintenance.take_up(told)
+            self._told = self.maintenance.take_up(told)
             self.listener.drain(bool(told["drained"]))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             log.warning("handover: what the other process tells cannot be read: %r", error)
-            return None
-        return known
 
     def described(self) -> dict[str, Any]:
         return self.maintenance.described() | {"drained": self.listener.draining}
--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import socket
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol, cast
 
@@ -48,6 +49,7 @@
         self._handover = handover
         self._rest = bytearray()
         self._asked: asyncio.Future[Message] | None = None
+        self._take: Callable[[Message], None] | None = None
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -82,13 +84,16 @@
         elif "answer" in message and self._asked and not self._asked.done():
             if not isinstance(message["answer"], dict):
                 raise TypeError("an answer that is none")
+            if self._take:  # now: a note may come right behind it, and goes by what it says
+                self._take(message["answer"])
             self._asked.set_result(message["answer"])
 
     def tell(self, message: Message) -> None:
         if self.transport and not self.transport.is_closing():
             self.transport.write(json.dumps({"version": VERSION} | message).encode() + b"\n")
 
-    async def ask(self, what: str) -> Message:
+    async def ask(self, what: str, take: Callable[[Message], None] | None = None) -> Message:
+        self._take = take
         self._asked = asyncio.get_running_loop().create_future()
         self.tell({"ask": what})
         async with asyncio.timeout(PATIENCE):
@@ -113,8 +118,9 @@
         self._channel: Channel | None = None  # to the other process, if there is one
         self._server: asyncio.Server | None = None
 
-    async def find(self) -> Message | None:
-        """What the process that serves tells; None where there is none, or none that can be understood."""
+    async def find(self, take: Callable[[Message], None]) -> Message | None:
+        """What the process that serves tells, once `take` has had it; None where there is none, or none that
+        can be understood."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(PATIENCE):
@@ -124,15 +130,15 @@
             return None
         self._channel = channel
         self.process.shares(with_other=True)
-        return await self._ask("hello")
+        return await self._ask("hello", take)
 
     async def take(self) -> Message | None:
         """What the other's module has learned; from here on it accepts no more."""
         return await self._ask("take") if self._channel else None
 
-    async def _ask(self, what: str) -> Message | None:
+    async def _ask(self, what: str, take: Callable[[Message], None] | None = None) -> Message | None:
         try:
-            return await self._channel.ask(what) if self._channel else None
+            return await self._channel.ask(what, take) if self._channel else None
         except (OSError, TimeoutError) as error:
             log.warning("handover: %s: %s", what, error or "no answer")
             return None
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -59,11 +59,16 @@
                 await self.changed.wait()
 
 
+def ignored(message: Any) -> None: ...
+
+
 async def test_a_new_process_is_told_takes_over_and_both_follow_calls(tmp_path: Path) -> None:
     old, new = Process(), Process()
     serving, coming = Handover(old, str(tmp_path)), Handover(new, str(tmp_path))
     await serving.offer()
-    assert await coming.find() == {"drained": True} and (old.given, old.shared) == (0, [True])
+    told: list[Any] = []
+    assert await coming.find(told.append) == {"drained": True} and (old.given, old.shared) == (0, [True])
+    assert told == [{"drained": True}]
     assert await coming.take() == {"accounts": []} and old.given == 1
     coming.note({"backend": "a", "out": True})
     await old.until(lambda: old.notes == [{"backend": "a", "out": True}])
@@ -72,7 +77,7 @@
     await coming.offer()  # for the next one, under the same name
     third = Handover(Process(), str(tmp_path))
     serving.stop()
-    assert await third.find() == {"drained": True} and old.given == 1
+    assert await third.find(ignored) == {"drained": True} and old.given == 1
     third.stop()
     coming.stop()
 
@@ -81,17 +86,38 @@
     old = Process()
     serving, coming = Handover(old, str(tmp_path)), Handover(Process(), str(tmp_path))
     await serving.offer()
-    await coming.find()
+    await coming.find(ignored)
     await coming.take()
     coming.stop()
     await old.until(lambda: old.alone == 1)
     assert old.shared == [True, False]
     again = Handover(Process(), str(tmp_path))  # and the next one may take over
-    assert await again.find() is not None and await again.take() is not None and old.given == 2
+    assert await again.find(ignored) is not None and await again.take() is not None and old.given == 2
     again.stop()
     serving.stop()
 
 
+async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
+    """Both lines in one read: the call was carried out first, and then undone by the state before it."""
+    listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
+    state = {"listing": listing, "out": [], "back": {}, "gone": [], "drained": False}
+    lines = {"answer": state}, {"note": {"backend": "a", "out": True}}, {"note": {"drain": True}}
+    new = Process()
+    made = Maintenance(lambda: 7_000_000, lambda listing, kind: None)
+    new.noted = lambda note: made.noted("a", True) if "backend" in note else None  # type: ignore[method-assign]
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        writer.write(b"".join(json.dumps({"version": 1} | line).encode() + b"\n" for line in lines))
+
+    server = await asyncio.start_unix_server(answer, tmp_path / NAME)
+    coming = Handover(new, str(tmp_path))
+    assert await coming.find(made.take_up) == state
+    assert made.out == {"a"}
+    coming.stop()
+    server.close()
+
+
 @pytest.mark.parametrize(
     "reply", [b"no json\n", b"[]\n", b'{"version":2,"answer":{}}\n', b'{"version":1,"answer":7}\n', b""]
 )
@@ -102,18 +128,18 @@
         writer.close()
 
     server = await asyncio.start_unix_server(answer, tmp_path / NAME)
-    assert await Handover(Process(), str(tmp_path)).find() is None
+    assert await Handover(Process(), str(tmp_path)).find(ignored) is None
     server.close()
 
 
 async def test_a_missing_or_stale_name_does_not_stop_a_start(tmp_path: Path) -> None:
-    assert await Handover(Process(), str(tmp_path)).find() is None
+    assert await Handover(Process(), str(tmp_path)).find(ignored) is None
     with socket.socket(socket.AF_UNIX) as left:
         left.bind(str(tmp_path / NAME))
     coming = Handover(Process(), str(tmp_path))
-    assert await coming.find() is None and await coming.take() is None
+    assert await coming.find(ignored) is None and await coming.take() is None
     await coming.offer()
-    assert await Handover(Process(), str(tmp_path)).find() is not None
+    assert await Handover(Process(), str(tmp_path)).find(ignored) is not None
     (tmp_path / "file").write_text("")
     await Handover(Process(), str(tmp_path / "file")).offer()  # cannot: the log says so
     coming.stop()
