Let a connection to a backend rest before its next request: a copy may come late

Ruled out: copies in the same read (seen and dropped already), a look at the socket before use (the copy is not there yet). At fault: Pool.take. Connections rest 20 ms, five times the latest copy seen; meanwhile the next most recently used one goes, or a new one. Four tests of what kept connections do without a rest run without one (at_once), otherwise as before.

--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -19,6 +19,8 @@
 IDLE_PART = 0.75  # of the time after which a backend closes an idle connection: ours is closed by then
 SWEEP = 1.0  # s between looks for such connections
 STUCK = 5.0  # s without a byte taken of a body, or given of a long answer, after which it is given up
+RESTS = 0.02  # s after an answer before the next request: a copy of that answer may come some ms late, and
+# would pass for the next one's
 PROBE_TIMEOUT = 0.25
 FRAGILE = 0.01  # part of the kept connections that end at the next request: past it, unsafe ones get a new
 FORGET = 0.02  # the weight of the last in that part
@@ -314,8 +316,11 @@
 
     def take(self, oldest: float) -> Link | None:
         """The most recently used connection that surely still stands; those that may be dying are closed."""
-        while self.idle:
-            link = self.idle.pop()
+        rested = self.now() - RESTS
+        for link in reversed(self.idle[:]):
+            if link.idle_since > rested:
+                continue
+            self.idle.remove(link)
             if link.idle_since > oldest and link.stands():
                 link.kept = True
                 self.busy.add(link)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -116,7 +116,9 @@
     assert fleet.sockets.open == 0
 
 
-async def test_connections_are_kept_and_carry_one_request_each(fleet: Fleet) -> None:
+async def test_connections_are_kept_and_carry_one_request_each(
+    fleet: Fleet, at_once: None
+) -> None:
     assert [await fleet.outcome() for _ in range(3)] == [Outcome.OK] * 3
     assert len(fleet.server.peers) == 1
     both = fleet.send(), fleet.send()
@@ -166,7 +168,9 @@
     assert fleet.exchange.abort() is False
 
 
-async def test_a_drain_withdraws_what_is_not_written_and_closes_what_is_idle(fleet: Fleet) -> None:
+async def test_a_drain_withdraws_what_is_not_written_and_closes_what_is_idle(
+    fleet: Fleet, at_once: None
+) -> None:
     assert await fleet.outcome() is Outcome.OK
     fleet.server.heard = lambda peer: None
     written, unwritten = fleet.send(), fleet.send()
@@ -248,7 +252,9 @@
     assert not any(s.done() for s in sent)
 
 
-async def test_where_kept_connections_often_end_an_unsafe_request_gets_a_new_one(fleet: Fleet) -> None:
+async def test_where_kept_connections_often_end_an_unsafe_request_gets_a_new_one(
+    fleet: Fleet, at_once: None
+) -> None:
     """A reset right at the next request: a safe one is sent again, an unsafe one would have failed."""
     fleet.server.heard = answers_once
     outcomes = [await fleet.outcome() for _ in range(6)]
--- a/tests/test_net_stream.py
+++ b/tests/test_net_stream.py
@@ -80,7 +80,9 @@
     return body
 
 
-async def test_a_long_answer_goes_on_as_it_comes_and_the_connection_lives_on(both: Both) -> None:
+async def test_a_long_answer_goes_on_as_it_comes_and_the_connection_lives_on(
+    both: Both, at_once: None
+) -> None:
     reader, writer = await both.connect(request("a1"))
     peer = await both.heard()
     peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:1000])
