Send nothing on for a client that left while it waited or was not being read

A client that sent more than eight requests and left was not noticed, as reading had stopped: its end came behind what was unread, and each queued request was sent on. One that left in the listener's line was read before its end. And a dial under way was let go on where attempts may not be cancelled. At fault: ClientConnection._hold and _advance, Engine.client_gone. A paused connection is looked at ten times a second for its end, a request just before it goes on; an attempt that waits for its connection is withdrawn, as one never sent, so that the module does not take the backend for down. Ruled out: waits for the counter and before a repeat (the module forgets them at ClientGone).

--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -70,6 +70,12 @@
             self.link.drop()
         return self.written
 
+    def withdraw(self) -> bool:
+        if not self.dial:
+            return False
+        self.abort()
+        return True
+
     def _leave_body(self) -> None:
         if self.body and self.link and self.body.grew == self.link.pass_on:
             self.body.leave()
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -23,7 +23,7 @@
     Message,
     Room,
 )
-from ironledge.net.sockets import Sockets, unread, unsent
+from ironledge.net.sockets import Sockets, left, unread, unsent
 
 HALF_SENT = 2.5  # s from connecting, or from a later request's first byte, for a head to come whole, and ...
 BODY_RATE = 32_000  # ... a second more for every so many bytes of its body: half of what a slow client sends
@@ -33,6 +33,7 @@
 KEPT = 2.0  # s that a connection may stand idle between requests: clients have only so many at once
 UNREAD = 4.0  # s without a byte read by the client, while an answer waits for it
 SWEEP = 0.25  # s between looks for such connections
+LEFT_LOOK = 0.1  # s between looks whether a client that is not being read has left
 STALLED = 0.7  # s without a byte more of a head, after which it may make room: the slow send on, in pieces
 BACKLOG = 4096  # those who wait in line: past it a crowd would turn clients away unheard
 QUEUED = 8  # requests on one connection that wait for the answer to the one before; no more is read meanwhile
@@ -394,6 +395,15 @@
         if (many or much) and not self._paused and not self.transport.is_closing():
             self._paused, self._held_up = True, self._listener.now()
             self.transport.pause_reading()
+            asyncio.get_running_loop().call_later(LEFT_LOOK, self._look, self._held_up)
+
+    def _look(self, since: int) -> None:
+        """While nothing is read, neither is the client's end, behind what it has sent."""
+        if self._paused and self._held_up == since and not self.transport.is_closing():
+            if left(self.transport):
+                self.transport.abort()
+            else:
+                asyncio.get_running_loop().call_later(LEFT_LOOK, self._look, since)
 
     def _ease(self) -> None:
         body = self._taken.body if self._taken else None
@@ -504,6 +514,9 @@
         kept = body.came <= BUFFERED or (body.came <= KEPT_WHOLE and not body.room.full)
         if wanted is None or (not body.whole and kept):
             return
+        if left(self.transport):  # while this waited: in the listener's line, or behind another request
+            self.transport.abort()
+            return
         wanted.came = now
         if late:  # its length is known now
             wanted.head = head_of(message, wanted.id)
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -48,6 +48,9 @@
     def abort(self) -> bool:
         """Gives the attempt up; True if it may have run, False if its last byte was never written."""
 
+    def withdraw(self) -> bool:
+        """Gives it up if it still waits for a connection: nothing of it has been written. True if so."""
+
 
 @dataclass(slots=True)
 class Answer:
@@ -210,6 +213,9 @@
         request = self._requests.get(self._ids.get(id, 0))
         if request and not request.over:
             self._close(request)
+            for attempt in [a for a in request.attempts if not a.ended]:  # no cancelling: never written
+                if attempt.exchange and attempt.exchange.withdraw():
+                    self._ended(request, attempt, Answer(Outcome.MOOT))
             self._post(it.ClientGone(request.number))
         elif request:  # an answer that is passed on has no reader any more
             for attempt in [a for a in request.attempts if a.latency >= 0 and not a.ended]:
--- a/ironledge/net/sockets.py
+++ b/ironledge/net/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import fcntl
 import random
+import select
 import termios
 from collections.abc import Callable
 
@@ -81,6 +82,13 @@
     return _asked(transport, termios.TIOCOUTQ)
 
 
+def left(transport: asyncio.Transport) -> bool:
+    """The other side has ended the connection or its sending, however much of it is still unread."""
+    look = select.poll()
+    look.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 def _asked(transport: asyncio.Transport, what: int) -> int:
     descriptor = transport.get_extra_info("socket").fileno()
     return int.from_bytes(fcntl.ioctl(descriptor, what, bytes(4)), "little")
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -33,6 +33,9 @@
         self.aborted = True
         return self.ran
 
+    def withdraw(self) -> bool:
+        return False
+
 
 class World:
     """The loop, the backends, the counter and one client, all pretended."""
