At a stop, take in the listener's line, and refuse at once what comes at the very end

Seen: by reading, then tests. (1) Who stood in the kernel's line when the listener closed was reset, requests and all: Listener.stop_listening. (2) What came on an open connection after the last requests had been given up was sent on, and cut off 0.1 s later: _finish. It is refused at once now, silent connections are closed and half-sent heads are told so. (3) A SIGHUP or second SIGTERM after Python had taken its handlers away killed the process (seen with a finalizer that sends them: 'Hangup', 129). They are ignored from the loop's end on.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -34,6 +34,7 @@
 ACCEPTS_ON = 0.55  # s after SIGTERM: new connections go on coming for 0.4 s
 LONGEST_STOP = 3.0  # s: the longest deadline that the platform waits for, and ...
 STOP_MARGIN = 0.4  # ... what it waits beyond that, less a margin
+LAST_ANSWERS = 0.15  # s after that in which the last answers are written
 AGENT_WAIT = 0.3  # s that a start waits for the list: the agent on this machine has it at once, or is silent
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
@@ -350,11 +351,13 @@
     listener.begin_stop()
     if not listener.handed:  # else another process accepts
         await asyncio.sleep(ACCEPTS_ON)
+        await listener.take_line(end)
     listener.stop_listening()
     while (engine.open or listener.connections) and loop.time() < end:
         await asyncio.sleep(LOOK)
     engine.give_up()
-    while listener.connections and loop.time() < end + 0.1:  # the last answers are still being written
+    while listener.connections and loop.time() < end + LAST_ANSWERS:
+        listener.last_call()
         await asyncio.sleep(LOOK)
 
 
@@ -363,6 +366,8 @@
     try:
         path = os.environ.get("EDGE_CONFIG", "")
         uvloop.run(serve(read_config(path, os.environ), path))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # Python's handlers go before it does
+            signal.signal(number, signal.SIG_IGN)
     except (ConfigError, OSError) as error:
         print(f"ironledge: {error}", file=sys.stderr)
         return 1
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -35,6 +35,7 @@
 SWEEP = 0.25  # s between looks for such connections
 LEFT_LOOK = 0.1  # s between looks whether a client that is not being read has left
 STALLED = 0.7  # s without a byte more of a head, after which it may make room: the slow send on, in pieces
+TURN = 0.01  # s between looks for room, at the end
 BACKLOG = 4096  # those who wait in line: past it a crowd would turn clients away unheard
 QUEUED = 8  # requests on one connection that wait for the answer to the one before; no more is read meanwhile
 REASONS = {
@@ -241,6 +242,30 @@
         for connection in list(self.idle):
             connection.close_if_quiet()
 
+    async def take_line(self, until: float) -> None:
+        """Takes in those who wait in line: they are connected, and closing would reset them, requests and
+        all. Where there is no room, they wait for it, until then at the longest."""
+        loop = asyncio.get_running_loop()
+        while self._socket and loop.time() < until:
+            if self.share.open >= self.top:
+                await asyncio.sleep(TURN)
+                continue
+            try:
+                came, _ = self._socket.accept()
+            except BlockingIOError:
+                return
+            came.setblocking(False)
+            await loop.connect_accepted_socket(lambda: ClientConnection(self), came)
+
+    def last_call(self) -> None:
+        """The process is about to end: of those with no request open, the silent are closed, and those in the
+        middle of a head are told so."""
+        for connection in list(self.connections):
+            if connection.busy and connection.stalled(self.now()):
+                connection.garbage(408)
+            else:
+                connection.close_if_quiet()
+
     def stop_listening(self) -> None:
         """Connections with a request under way are left to end, and those that have not asked yet are given
         their time to: a head may take seconds, and its first byte may still be on its way."""
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -154,6 +154,7 @@
         self.servers: Servers
         self.counter: CounterClient | None = None
         self.open = 0  # requests not yet answered
+        self.ending = False  # the process is: what comes now is refused, as no answer would come in time
         self._gateway, self._loop = gateway, loop
         self._requests: dict[int, Request] = {}
         self._ids: dict[bytes, int] = {}
@@ -177,7 +178,7 @@
         if wanted.id in self._ids:
             return False
         left = wanted.timeout - (now - wanted.came if wanted.body.whole else 0)
-        if left <= ANSWER_MARGIN or 0 < self.settings.limits.max_open <= self.open:
+        if self.ending or left <= ANSWER_MARGIN or 0 < self.settings.limits.max_open <= self.open:
             client.refuse(0)  # nothing was sent: harmless, and the module never hears of it
             return True
         self._next += 1
@@ -277,7 +278,8 @@
         return bool(self._up)
 
     def give_up(self) -> None:
-        """Fails all that is open: the process is about to end."""
+        """Fails all that is open, and takes nothing in any more: the process is about to end."""
+        self.ending = True
         for request in list(self._requests.values()):
             self._overdue(request)
 
