Drop what a watch that was left still reads: only the one in force counts

Seen: by reading, then a test that forces the order on real connections: after SIGHUP the new agent's list and a line on the old watch can be read in one turn of the loop; the old line then undid the new list and moved its version back. At fault: Sources.__init__, whose first watch told Maintenance.listed past Sources._listed. Ruled out: a second reload (the watch it replaces went by _listed already).

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -120,8 +120,7 @@
     def __init__(self, engine: Engine, maintenance: Maintenance, config: Config, index: int | None) -> None:
         """`index`: the version of the list that is held, if one is."""
         self._engine, self._listings, self._config = engine, maintenance, config
-        size = config.settings.fleet_size
-        self._discovery = Discovery(config.discovery, index, maintenance.listed, size)
+        self._discovery = self._new_discovery(config, index)
         self._counter = self._new_counter(config)
         self._next: Discovery | None = None  # asked for its list; the one in force is kept until it comes
         self._change: asyncio.Task[None] | None = None
@@ -129,6 +128,11 @@
         engine.counter = self._counter
         self._discovery.start()
 
+    def _new_discovery(self, config: Config, index: int | None) -> Discovery:
+        size = config.settings.fleet_size
+        made = Discovery(config.discovery, index, lambda listing: self._listed(made, listing), size)
+        return made
+
     def _new_counter(self, config: Config) -> Counter | None:
         if config.counter is None:
             return None
@@ -154,10 +158,7 @@
         if config.discovery != (self._next or self._discovery).address:
             if self._next:
                 self._next.stop()
-            size = config.settings.fleet_size
-            self._next = discovery = Discovery(
-                config.discovery, None, lambda x: self._listed(discovery, x), size
-            )
+            self._next = self._new_discovery(config, None)
             self._next.start()
         if config.counter != self._config.counter:
             if self._change:
@@ -166,6 +167,7 @@
         self._config = config
 
     def _listed(self, by: Discovery, listing: Listing) -> None:
+        """One that has been left may still read a line before it is closed: only the one in force counts."""
         if by is self._next:
             self._discovery.stop()
             self._discovery, self._next = by, None
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -14,7 +14,7 @@
 
 from ironledge import __main__ as main_module
 from ironledge.net import discovery as discovery_module
-from ironledge.net.discovery import Discovery, Document, Listing
+from ironledge.net.discovery import Discovery, Document, Listing, Watch
 from tests.net_helpers import HOST, Peer, PeerServer
 from tests.test_net_main import config
 
@@ -262,6 +262,44 @@
     agent.stop()
 
 
+async def test_a_line_on_the_watch_that_was_left_does_not_undo_the_new_list(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After a reload, both can be read in one turn of the loop: the new list first, and then the old line."""
+    watches: list[Watch] = []
+
+    class Kept(Watch):
+        def __init__(self, discovery: Discovery) -> None:
+            super().__init__(discovery)
+            watches.append(self)
+
+    monkeypatch.setattr(discovery_module, "Watch", Kept)
+    old, new = Agent(HEAD + chunk(text(told(42, False)))), Agent(as_list(text(told(7, True, staying="up"))))
+    await old.start()
+    await new.start()
+    ingress = made_ingress(tmp_path, old)
+    await ingress.start()
+    assert ingress.sources
+    done, listed = asyncio.Event(), ingress.maintenance.listed
+
+    def listed_then_read(listing: Listing, kind: Any = None) -> None:
+        listed(listing, kind)
+        if listing.whole:
+            done.set()
+            watches[0].data_received(chunk(text(told(43, False, leaving="up"))))
+
+    monkeypatch.setattr(ingress.maintenance, "listed", listed_then_read)
+    path = tmp_path / "other.json"
+    path.write_text(json.dumps(config(discovery=f"{HOST}:{new.port}")))
+    ingress.sources.reload(str(path))
+    async with asyncio.timeout(10):
+        await done.wait()
+    assert list(ingress.maintenance.entries) == ["staying"] and ingress.maintenance.index == 7
+    await stopped(ingress)
+    old.stop()
+    new.stop()
+
+
 async def stopped(ingress: main_module.Ingress) -> None:
     assert ingress.sources
     ingress.sources.stop()
