Ask a counter that answers promptly as often as there is need, in a fleet of any size

Cause: the time between a gateway's calls never went under time-out x fleet size / 64, so that two hundred gateways together made 1,250 to 1,320 calls a second however promptly the counter answered.

Change: below that many calls the interval goes by delay: a prompt answer shortens it by a twentieth, down to 4 ms, one that had to wait lengthens it by a fiftieth; losses count as before. What may be made at one stroke after a lull stays a second's calls.

Nothing changes in a fleet of three.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -21,6 +21,8 @@
 CALM = 3 * SECOND  # without a call lost: the counter turns nobody away now
 PROMPT = 0.25  # of the counter's time-out: within it, nothing had waited there
 CALLS_OUT = 64.0  # calls to the counter in its time-out by all gateways: more than a healthy one has waiting
+CALL_GAP = 4_000  # us between two calls of a gateway, at the least, while all are answered promptly
+QUEUED = 1.02  # how the time between calls grows with an answer that had to wait there, below that many calls
 KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
 WIDE = 12  # gateways a customer: with more, each knows next to nothing of the store but from the counter
 EPOCH = 8  # windows that one name of a fading count lasts: its weights grow by e in each, and stay exact
@@ -295,6 +297,7 @@
         self.luck = dict.fromkeys(settings.plans, 1.0)  # of a wide customer of whom nothing is known
         self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
         self.most = max(1.0, min(32.0, 1.5 * SECOND / max(1.0, self.pace)))  # a trial call a second or so
+        self.least = min(1.0, CALL_GAP / max(1.0, self.pace))
         self.slot_us = limits.advises_retry * limits.max_retry_after or SECOND  # d_0, T0: longest wait heeded
         self.actions: list[it.Action] = []
 
@@ -345,7 +348,7 @@
         s, fleet = self.settings, self.fleet
         if len(carried.usual) == len(carried.typical) == len(s.classes):
             fleet.usual, fleet.typical = list(carried.usual), list(carried.typical)
-            fleet.more, self.crowd = max(0.0, carried.more), min(self.most, max(1.0, carried.crowd))
+            fleet.more, self.crowd = max(0.0, carried.more), min(self.most, max(self.least, carried.crowd))
         for told in carried.backends:
             backend = fleet.backends.get(told.id)
             if backend and len(told.slow) == len(s.classes):
@@ -402,7 +405,7 @@
         account.fade(self.now)
         room = account.most(units) - account.used + min(0.0, account.held)
         luck = account.luck if account.luck >= 0 else self.luck[account.plan]
-        spare = (self.now - self.call_at) * self.crowd / SECOND  # of the calls that may be made at one stroke
+        spare = (self.now - self.call_at) / self.stroke()  # of the calls that may be made at one stroke
         if account.held >= units and not account.waiting:
             account.held -= units if self.send(request) else 0.0
         elif answered or (room < units and not account.asking):
@@ -488,7 +491,8 @@
     def ask(self, account: Account, customer: int) -> None:  # a lease: what waits, and demand ahead
         room, units = account.bound(self.now), account.waiting[0].event.units
         need = max(0.0, min(units - account.tokens, room))
-        ahead = min(max(account.usual * LEASE_LIFE, units), (room - need) / (2 * account.spread)) * self.crowd
+        ahead = min(max(account.usual * LEASE_LIFE, units), (room - need) / (2 * account.spread))
+        ahead *= max(1.0, self.crowd)
         account.asking, window = True, self.now // account.window_us
         name, start = count_name(customer, window), window * account.window_us
         owed, account.owed = account.owed, 0.0
@@ -504,7 +508,10 @@
         self, name: int, account: Account, start: int, amount: float, lease: bool, owed: float
     ) -> None:
         self.calls.setdefault(name, deque()).append((account, start, amount, lease, owed))
-        self.call_at = int(max(self.call_at, self.now - SECOND / self.crowd) + self.pace * self.crowd)
+        self.call_at = int(max(self.call_at, self.now - self.stroke()) + self.pace * self.crowd)
+
+    def stroke(self) -> float:  # us whose calls may be made at one stroke, after a lull
+        return SECOND / max(1.0, self.crowd)
 
     def count_answered(self, event: it.CountAnswered) -> None:
         if not (queue := self.calls.pop(event.name, None)):
@@ -521,8 +528,11 @@
         # of which makes one a second after a silence, would come back the later the more they are.
         self.lost_at = self.lost_at if heard else self.now
         prompt = event.latency <= PROMPT * self.settings.counter.timeout
-        step = step**self.crowd if prompt and self.now - self.lost_at > CALM else step
-        self.crowd = min(self.most, max(1.0, self.crowd * step))
+        step = step ** max(1.0, self.crowd) if prompt and self.now - self.lost_at > CALM else step
+        # One that answers promptly is asked ever more often, whatever the fleet's size; a line there ends
+        # that before calls are turned away.
+        step = QUEUED if heard and not prompt and self.crowd <= 1 else step
+        self.crowd = min(self.most, max(self.least, self.crowd * step))
         account.fade(self.now)
         if event.outcome in NEVER_RAN:  # nothing was added
             account.held -= owed if account.spread > WIDE else 0.0
