Where the counter can't be asked for all, leave refused asks in the count in that measure

Cause: where the counter answers fewer calls than there are requests, those that go on unheard are missing in the count, so that what it lets in comes on top; they are sent whatever their plan's customers fare; and a refused ask takes two calls.

Change: a gateway keeps the part of its sends that the counter was heard for; a refused ask is given back with the square of that part as its chance, else it stays in the count. A customer of whom nothing is known goes unheard as likely as calls for its plan's customers bring units.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -30,6 +30,7 @@
 PATIENCE = 0.1  # of a class's aim that a request may wait until a call to the counter can be made
 LUCK = 0.6  # the weight of the last call in a customer's luck ...
 REMEMBERED = 60 * SECOND  # for which a wide customer's luck is kept: each gateway sees few of its requests
+LAST = 0.03  # the weight of the last request in the part of them that was heard of at the counter
 PRIOR = 0.1  # ... and of its first one in that of its plan's customers
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
 TARGET = 0.32  # latency, as a share of the aim, at which a backend counts as full: tails run three times that
@@ -293,6 +294,7 @@
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
         self.calls: dict[int, deque[tuple[Account, int, float, bool, float]]] = {}  # by name, in order
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
+        self.heard_part = 1.0  # of wide customers' requests: those not sent without the counter's word
         self.lost_at = -60 * SECOND  # a call to the counter that was turned away or not answered
         self.luck = dict.fromkeys(settings.plans, 1.0)  # of a wide customer of whom nothing is known
         self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
@@ -430,6 +432,8 @@
         part = min(account.share, room, even) / units if units else 1.0
         if account.plan.burst >= units * account.spread:
             part = part // 1  # else never as much as one
+        if account.spread > WIDE and account.luck < 0:
+            part *= self.luck[account.plan]  # nothing is known of it, but of its plan's customers
         if self.fleet.rng.random() >= part:
             account.share -= units * part  # the draw was for all of it: a second one would make it more
             self.overflow(request)
@@ -437,6 +441,7 @@
             account.share = max(0.0, account.share - units)
             account.level, account.level_at = room - units, self.now
             if account.spread > WIDE:
+                self.heard_part -= LAST * self.heard_part
                 account.fade(self.now)
                 account.held -= units
             else:
@@ -466,6 +471,7 @@
     ) -> None:
         """The answer to a lease."""
         plan, known = account.plan, account.used
+        self.heard_part += LAST * (1 - self.heard_part)
         left = math.exp(-event.latency / account.window_us)  # of what was added with the call
         total = event.total / math.exp((self.now - start) / account.window_us)
         amount, added = amount * left, (amount + untold) * left
@@ -477,7 +483,10 @@
         over = min(amount, max(0.0, total - account.most(units)))  # past the allowance: added back
         if account.held + amount - over < units * left:
             over = amount  # the rest would cover no request
-        if over > 0:
+        # What goes on unheard is missing in the count. In that measure, what was refused is left in it: the
+        # counter has no room to be asked for all, this saves calls, and it is of the same customers, those
+        # at their limit. Left in beyond that, it would starve who asks several times its quota.
+        if over > 0 and self.fleet.rng.random() < self.heard_part**2:
             self.call_wide(account, event.name, start, -over, False)
         account.used, account.heard_at = total - over, self.now
         account.held += (amount - over) / left
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -298,3 +298,39 @@
             assert not isinstance(action, it.SendAttempt | it.Refuse | it.Fail)
     assert not g.requests and not g.flying and g.fleet.out == 0
     assert all(count == 1 for count in ends.values())
+
+
+def given_back(unheard: int) -> int:
+    """Of two hundred refused asks, how many are given back after as many requests went on unheard."""
+    g, now = wide(30), SECOND
+    for n in range(unheard):
+        g.call_at = 60 * SECOND  # no call may be made
+        g.handle(now, arrival(n, customer=n, spread=30))
+        finish(g, now, g.handle(now + int(PATIENCE * SECOND), it.TimerFired(n)))
+    calls, now = 0, now + SECOND
+    for n in range(1000, 1200):
+        g.call_at, g.crowd = 0, 1.0
+        (ask,) = of(g.handle(now, arrival(n, customer=n, spread=30)), it.AddToCounter)
+        back = g.handle(now, it.CountAnswered(ask.name, it.Outcome.OK, 1e4, 1000))
+        assert of(back, it.Refuse)
+        calls += len(of(back, it.AddToCounter))
+    return calls
+
+
+def test_refused_asks_are_given_back_unless_much_goes_on_unheard() -> None:
+    assert given_back(unheard=0) == 200
+    assert given_back(unheard=30) < 195  # soon all are again: the counter is asked for each
+    assert given_back(unheard=200) < given_back(unheard=30)
+
+
+def test_a_customer_of_whom_nothing_is_known_goes_unheard_as_its_plans_customers_fare() -> None:
+    g = wide(30)
+    for n in range(30):  # of this plan, the last ones asked for were refused
+        g.call_at = 0
+        (ask,) = of(g.handle(SECOND, arrival(n, customer=n, spread=30)), it.AddToCounter)
+        g.handle(SECOND, it.CountAnswered(ask.name, it.Outcome.OK, 1e4, 1000))
+    sent = 0
+    for n in range(100, 200):
+        g.call_at = 60 * SECOND
+        sent += finish(g, SECOND, g.handle(SECOND, arrival(n, customer=n, spread=30, time_left=50_000)))
+    assert 0 < sent < 30
