--- /dev/null
+++ b/fleetlab/hollow.py
@@ -0,0 +1,146 @@
+"""Hollow ingresses, many to a process: the real watch, counter client, engine and module, with neither
+clients nor backends on sockets. Each applies changes and paces its calls as a real one does."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from fleetlab.model import Shape
+from ironledge import interface as it
+from ironledge.brain import Gateway
+from ironledge.net.counter import Counter
+from ironledge.net.discovery import Discovery, Entry, Listing
+from ironledge.net.engine import Answer, Clock, Engine, Names, Wanted
+from ironledge.net.http import Body, Room
+from ironledge.net.maintenance import Maintenance
+from ironledge.wire import settings_from_json
+
+WORK = 0.005  # s until an attempt is answered
+
+
+class Attempt:
+    """An exchange that no socket carries."""
+
+    def __init__(self, ended: Callable[[Answer], None]) -> None:
+        self._timer = asyncio.get_running_loop().call_later(WORK, ended, Answer(it.Outcome.OK))
+
+    def abort(self) -> bool:
+        self._timer.cancel()
+        return True
+
+    def withdraw(self) -> bool:
+        return False
+
+
+class Servers:
+    """Backends that answer all."""
+
+    def know(self, entry: Entry, backend: int) -> None: ...
+    def settle(self, gone: Iterable[int]) -> None: ...
+    def close_idle(self, backend: int) -> None: ...
+
+    def send(self, backend: int, data: bytes, ended: Callable[[Answer], None], *more: Any) -> Attempt:
+        return Attempt(ended)
+
+    def probe(self, backend: int, ended: Callable[[Answer], None]) -> None:
+        Attempt(ended)
+
+
+class Client:
+    """Counts what the clients of one hollow ingress got."""
+
+    def __init__(self) -> None:
+        self.served = self.refused = self.failed = 0
+
+    def serve(self, answer: Answer) -> None:
+        self.served += 1
+
+    stream = serve
+
+    def refuse(self, retry_after: int) -> None:
+        self.refused += 1
+
+    def fail(self, timed_out: bool) -> None:
+        self.failed += 1
+
+
+class Hollow:
+    def __init__(
+        self, settings: it.Settings, raw: dict[str, Any], discovery: tuple[str, int], counter: tuple[str, int]
+    ) -> None:
+        loop, clock = asyncio.get_running_loop(), Clock()
+        self.seen: dict[int, float] = {}  # by version of the list, when it was in force (monotonic clock)
+        self.client, self._rng = Client(), random.Random(settings.me)
+        gateway = Gateway(settings, settings.me + 1)
+        self.engine = Engine(gateway, settings, Names(settings, raw), loop, clock.now)
+        self.engine.servers = Servers()
+        self.maintenance = Maintenance(clock.now, self.engine.listed)
+        self.counter = Counter(counter, settings.counter.timeout, settings.fleet_size)
+        self.engine.counter = self.counter
+        self.discovery = Discovery(discovery, None, self._listed, settings.fleet_size)
+        self._room = Room()
+        self._number = 0
+
+    def start(self) -> None:
+        self.discovery.start()
+        self.counter.start()
+
+    def _listed(self, listing: Listing) -> None:
+        self.maintenance.listed(listing)
+        self.seen[listing.index] = time.monotonic()
+
+    async def asks(self, rate: float, seconds: float, customers: int, spread: int) -> None:
+        """Requests at drawn moments, straight into the engine."""
+        loop, settings = asyncio.get_running_loop(), self.engine.settings
+        due, end = loop.time(), loop.time() + seconds
+        while (due := due + self._rng.expovariate(rate)) < end:
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            self._number += 1
+            body = Body(self._room)
+            body.whole = True
+            wanted = Wanted(
+                b"%x-%x" % (settings.me, self._number), 0, 0, self._rng.randrange(customers), 1.0, spread, 0,
+                3_000_000, self.engine.now(), False, b"", body,
+            )  # fmt: skip
+            self.engine.arrived(wanted, self.client)
+
+
+class Crowd:
+    """The worker's host: a part of the fleet."""
+
+    def __init__(self) -> None:
+        self._all: list[Hollow] = []
+
+    async def start(
+        self, first: int, count: int, fleet_size: int, discovery: list[Any], counter: list[Any], pace: float
+    ) -> int:
+        """Starts ingresses number `first` and on, `pace` s apart."""
+        raw = Shape(fleet_size=fleet_size).settings()
+        settings = settings_from_json(json.dumps(raw).encode())
+        for me in range(first, first + count):
+            made = Hollow(dataclasses.replace(settings, me=me), raw, tuple(discovery), tuple(counter))
+            self._all.append(made)
+            made.start()
+            await asyncio.sleep(pace)
+        return len(self._all)
+
+    def in_force(self, version: int) -> list[float]:
+        """When each had that version, or a later one; a machine-wide clock. Missing ones are left out."""
+        return [t for h in self._all if (t := _first(h.seen, version)) is not None]
+
+    async def requests(self, rate: float, seconds: float, customers: int, spread: int) -> dict[str, int]:
+        """`rate` a second at each of them."""
+        await asyncio.gather(*(h.asks(rate, seconds, customers, spread) for h in self._all))
+        await asyncio.sleep(1.0)
+        clients = [h.client for h in self._all]
+        return {n: sum(getattr(c, n) for c in clients) for n in ("served", "refused", "failed")}
+
+
+def _first(seen: dict[int, float], version: int) -> float | None:
+    return min((at for index, at in seen.items() if index >= version), default=None)
--- /dev/null
+++ b/fleetlab/standins/sockets.py
@@ -0,0 +1,42 @@
+"""Listening sockets that only this machine reaches, and a protocol's shared parts."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import cast
+
+BACKLOG = 4096
+
+
+def everywhere_on_loopback() -> socket.socket:
+    """At a free port of every loopback address (127.0.0.0/8) and, bound to that device, of no other."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo\0")
+    sock.bind(("0.0.0.0", 0))
+    return sock
+
+
+class Connection(asyncio.Protocol):
+    transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
+
+
+class Server:
+    """A stand-in's listener; `port` is known once started."""
+
+    port: int = 0
+    _server: asyncio.Server | None = None
+
+    async def serve(self, made: Callable[[], asyncio.Protocol]) -> None:
+        loop, sock = asyncio.get_running_loop(), everywhere_on_loopback()
+        self.port = sock.getsockname()[1]
+        self._server = await loop.create_server(made, sock=sock, backlog=BACKLOG)
+
+    def close(self) -> None:
+        if self._server:
+            self._server.close()
--- /dev/null
+++ b/fleetlab/worker.py
@@ -0,0 +1,91 @@
+"""A part of a run in a process of its own, so that its CPU and memory can be told from the others'.
+
+The child makes the host that is named (`module:Class`) and carries out what the parent asks, a JSON line each
+on its standard streams: `{"do": NAME, ...}` calls the host's method of that name. It ends with its input.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import inspect
+import json
+import logging
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+HERE = Path(__file__).resolve().parent.parent
+MOST = 256 * 1024 * 1024  # bytes of one message
+PATIENCE = 300.0  # s for an answer
+# The program under test goes before this project's own on the path; this package is loaded already then.
+BOOT = (
+    "import sys; own, program, target = sys.argv[1:]; sys.path.insert(0, own); "
+    "from fleetlab import worker; sys.path.insert(0, program); worker.main(target)"
+)
+
+
+class WorkerError(Exception):
+    """The host could not do what was asked."""
+
+
+class Worker:
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self._process = process
+        self.pid = process.pid
+
+    @classmethod
+    async def start(cls, target: str, program: Path, env: dict[str, str]) -> Worker:
+        """In a session of its own: Ctrl-C is the parent's to handle."""
+        return cls(
+            await asyncio.create_subprocess_exec(
+                sys.executable, "-P", "-c", BOOT, str(HERE), str(program), target,
+                stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=MOST,
+                start_new_session=True, env=env,
+            )
+        )  # fmt: skip
+
+    async def ask(self, do: str, **what: Any) -> Any:
+        assert self._process.stdin and self._process.stdout
+        self._process.stdin.write(json.dumps({"do": do} | what).encode() + b"\n")
+        async with asyncio.timeout(PATIENCE):
+            line = await self._process.stdout.readline()
+        if not line:
+            raise WorkerError(f"{do}: the worker has ended")
+        answer = json.loads(line)
+        if "error" in answer:
+            raise WorkerError(f"{do}: {answer['error']}")
+        return answer["told"]
+
+    async def stop(self) -> None:
+        if self._process.returncode is None:
+            self._process.kill()
+        await self._process.wait()
+
+
+async def _host(target: str) -> None:
+    logging.basicConfig(level=logging.ERROR)  # hollow ones warn of what a run does to them on purpose
+    module, _, name = target.partition(":")
+    host = getattr(importlib.import_module(module), name)()
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=MOST)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    out = os.fdopen(os.dup(1), "wb", buffering=0)
+    os.dup2(2, 1)  # whatever prints does not spoil the answers
+    while line := await reader.readline():
+        asked = json.loads(line)
+        try:
+            told = getattr(host, asked.pop("do"))(**asked)
+            if inspect.isawaitable(told):
+                told = await told
+            answer = {"told": told}
+        except Exception as error:  # the parent says what it means
+            answer = {"error": f"{type(error).__name__}: {error}"}
+        out.write(json.dumps(answer).encode() + b"\n")
+
+
+def main(target: str) -> None:
+    uvloop.run(_host(target))
