Let the counter stand-in tell hollow ingresses apart

Cause: it holds 32 connections of an ingress at one address, and all hollow ones called it from one: past 16 of them connections were reset without end, which showed in its CPU and in what was served.

Change: each hollow ingress calls at a loopback address of its own, and the limit counts by both ends.

Result: a connection to another of its addresses is served while the 33rd of one is reset (test).

--- a/fleetlab/experiments/fleet.py
+++ b/fleetlab/experiments/fleet.py
@@ -38,7 +38,7 @@
         starts = [
             crowd.ask(
                 "start", first=n * CROWD, count=min(CROWD, self.size - n * CROWD), fleet_size=whole,
-                discovery=[HOST, port], counter=[HOST, counting], pace=PACE,
+                discovery=[HOST, port], counter=counting, pace=PACE,
             )
             for n, crowd in enumerate(self.crowds)
         ]  # fmt: skip
--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from fleetlab.model import Shape
+from fleetlab.model import Shape, address
 from ironledge import interface as it
 from ironledge.brain import Gateway
 from ironledge.net.counter import Counter
@@ -118,13 +118,15 @@
         self._all: list[Hollow] = []
 
     async def start(
-        self, first: int, count: int, fleet_size: int, discovery: list[Any], counter: list[Any], pace: float
+        self, first: int, count: int, fleet_size: int, discovery: list[Any], counter: int, pace: float
     ) -> int:
-        """Starts ingresses number `first` and on, `pace` s apart."""
+        """Starts ingresses number `first` and on, `pace` s apart. Each calls the counter at an address of its
+        own, so that the counter, which holds so many connections of one, can tell them apart."""
         raw = Shape(fleet_size=fleet_size).settings()
         settings = settings_from_json(json.dumps(raw).encode())
         for me in range(first, first + count):
-            made = Hollow(dataclasses.replace(settings, me=me), raw, tuple(discovery), tuple(counter))
+            own = (address(me, counter).partition(":")[0], counter)
+            made = Hollow(dataclasses.replace(settings, me=me), raw, tuple(discovery), own)
             self._all.append(made)
             made.start()
             await asyncio.sleep(pace)
--- a/fleetlab/standins/counter.py
+++ b/fleetlab/standins/counter.py
@@ -9,7 +9,7 @@
 
 from fleetlab.standins.sockets import Connection, Server
 
-LINES = 32  # connections of one address: further ones are reset
+LINES = 32  # connections of one address (to one of the counter's own): further ones are reset
 IDLE = 10.0  # s after which a connection is closed
 LONGEST_LIFE = 60_000  # ms
 MOST = 1e9
@@ -45,7 +45,7 @@
         self.callers: set[Line] = set()
         self.silent = False
         self.adds = self.pings = self.busy = self.reset = self.received = 0  # received: bytes
-        self.by_address: Tally[str] = Tally()
+        self.by_address: Tally[tuple[str, str]] = Tally()
         self._sweep: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
@@ -92,11 +92,13 @@
     def __init__(self, counter: Counter) -> None:
         self._counter, self._rest, self._last_due = counter, b"", 0.0
         self._loop = asyncio.get_running_loop()
-        self.heard_at, self._address, self._held = self._loop.time(), "", False
+        self.heard_at, self._held = self._loop.time(), False
+        self._address = ("", "")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._address = self.transport.get_extra_info("peername")[0]
+        peer, own = (self.transport.get_extra_info(side)[0] for side in ("peername", "sockname"))
+        self._address = (peer, own)
         if self._counter.by_address[self._address] >= LINES:
             self._counter.reset += 1
             self.transport.abort()
--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -158,6 +158,8 @@
     async with serving(Counter()) as counter:
         talks = [await connect(counter) for _ in range(32)]
         assert await talks[31].ask(b"ping\r\n", b"pong\r\n")
+        other = await connect(counter, "127.3.3.3")  # another ingress, to the counter
+        assert await other.ask(b"ping\r\n", b"pong\r\n")
         over = await connect(counter)
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             await over.ask(b"ping\r\n", b"pong\r\n")
@@ -201,7 +203,7 @@
     entries = [entry(n, 80) for n in range(6)]
     async with serving(Discovery(entries)) as discovery, serving(Counter()) as counter:
         crowd = Crowd()
-        await crowd.start(0, 3, 4, [HOST, discovery.port], [HOST, counter.port], pace=0.0)
+        await crowd.start(0, 3, 4, [HOST, discovery.port], counter.port, pace=0.0)
         async with asyncio.timeout(10):
             while len(discovery.watches) < 3:
                 await asyncio.sleep(0.01)
