--- a/fleetlab/probe.py
+++ b/fleetlab/probe.py
@@ -39,7 +39,8 @@
 
 
 def served(gateway: Gateway, now: int, customers: range, spread: int = 1, classes: int = 1) -> None:
-    """A request of each, its calls answered and its attempt served at once."""
+    """A request of each, its calls answered and its attempt served at once; one that is to wait for its turn
+    at the counter is given up by its client, so that only what the customer leaves behind is held."""
     for n in customers:
         event = it.RequestArrived(now + n, n % classes, 0, n, 1.0, 3 * SECOND, spread=spread)
         todo = gateway.handle(now + n, event)
@@ -51,6 +52,7 @@
             elif isinstance(action, it.AddToCounter):
                 answer = it.CountAnswered(action.name, it.Outcome.OK, action.amount, 500)
                 todo += gateway.handle(now + n, answer)
+        gateway.handle(now + n, it.ClientGone(now + n))
 
 
 class Probe:
