Keep the order of the counter stand-in's answers that are due at one moment

Found by reading: each late answer had a timer of its own, and a heap of timers fires those of one moment in any order. They now wait in a line, and a timer takes the first.

--- a/fleetlab/standins/counter.py
+++ b/fleetlab/standins/counter.py
@@ -6,6 +6,7 @@
 import math
 import zlib
 from collections import Counter as Tally
+from collections import deque
 
 from fleetlab.standins.sockets import Connection, Server
 
@@ -93,6 +94,7 @@
         self._counter, self._rest, self._last_due = counter, b"", 0.0
         self._loop = asyncio.get_running_loop()
         self.heard_at, self._held = self._loop.time(), False
+        self._late: deque[bytes] = deque()  # answers not due yet: timers of one moment fire in any order
         self._address = ("", "")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -129,10 +131,12 @@
             if due <= now:
                 answers += answer
             else:
-                self._loop.call_at(due, self._later, answer)
+                self._late.append(answer)
+                self._loop.call_at(due, self._later)
         if answers:
             self.transport.write(answers)
 
-    def _later(self, answer: bytes) -> None:
+    def _later(self) -> None:
+        answer = self._late.popleft()
         if not self.transport.is_closing():
             self.transport.write(answer)
