--- a/fleetlab/experiments/__init__.py
+++ b/fleetlab/experiments/__init__.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from fleetlab.experiments import fleet, lists, requests, tables
+from fleetlab.experiments import fleet, lists, quotas, requests, tables
 from fleetlab.experiments.base import Experiment
 
-ALL: dict[str, Experiment] = {
-    e.name: e for e in (*lists.EXPERIMENTS, *tables.EXPERIMENTS, *requests.EXPERIMENTS, *fleet.EXPERIMENTS)
-}
+PARTS = (lists, tables, requests, fleet, quotas)
+ALL: dict[str, Experiment] = {e.name: e for part in PARTS for e in part.EXPERIMENTS}
