Hold the cold budget for the fleet: no turns at the start, none saved up

Cause: `Fleet.listed` gave each gateway of a fleet of up to sixteen one whole send for a backend that starts (and of twenty to thirty 0.53 to 0.8 of one), so they sent at one stroke; the backend jammed, its latency rose and it was left alone for the rest of the ramp. `cold_room` let each save up two sends, also for backends of other parts, which all could spend at once.

Change: each cold backend has a turn, out of step at each gateway, that grows with every request by the warm part of what a backend of its weight is asked for; the request in which it becomes due goes there, and what cannot be taken is lost. More of the budget is used only where no warm backend has room. The credit is gone from the hand-over: a fresh draw is as good.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -32,6 +32,7 @@
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
 TARGET = 0.32  # latency, as a share of the aim, at which a backend counts as full: tails run three times that
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
+SLOWER = 2.0  # times the usual latency: a cold backend takes longer; one that takes more than this gets less
 FAILED = 4.0  # times the usual latency: what an error or no answer is taken for
 MEMORY = 5.0  # s that a backend's slowness is remembered: some tens of answers; longer if few come
 LAST_CHANCE = 0.5  # of the usual latency: a further attempt with less time left is work for nothing
@@ -144,8 +145,7 @@
     slow: list[float] = field(default_factory=list)  # by class: latency over the usual; FAILED if none came
     out: int = 0
     seen_at: int = 0  # its last answer, or the lack of one
-    credit: float = 0.0  # sends earned by now, and what a backend had got on average then
-    credit_at: float = 0.0
+    turn: float = 0.0  # of a cold one: the part of a request that has fallen to it
     load: float = 0.0  # the last report of how busy it is
     load_at: int = -SECOND
 
@@ -158,7 +158,7 @@
         self.own: list[Backend] = []  # of these, the ones that this gateway keeps to while they have room
         self.usual = [0.0] * len(settings.classes)  # usual latency of an answer, by class
         self.typical = [1.0] * len(settings.classes)  # what `slow` is on average
-        self.out, self.more, self.sends = 0, 0.0, 0.0
+        self.out, self.more = 0, 0.0
 
     def used(self) -> float:  # the part out of what may be out at all backends: one at each jams them
         fails = min((t for t, u in zip(self.typical, self.usual, strict=True) if u), default=1.0)
@@ -168,9 +168,8 @@
     def listed(self, event: it.BackendsListed) -> None:
         for info in event.backends:
             known = self.backends.setdefault(info.id, Backend(info))
-            if known.limit == 0 or info.started > known.info.started:  # sends are earned out of step
-                known.limit, known.slow = self.first, self.typical[:]
-                known.credit, known.credit_at = max(self.rng.random(), min(1.0, self.first)), self.sends
+            if known.limit == 0 or info.started > known.info.started:
+                known.limit, known.slow, known.turn = self.first, self.typical[:], self.rng.random()
             known.info = info
         whole = event.kind in (ListKind.FULL, ListKind.CACHED)
         named = {info.id for info in event.backends} if whole else self.backends.keys()
@@ -197,19 +196,29 @@
         fading = math.exp((backend.seen_at - now) / SECOND / MEMORY / min(4.0, 1 + 1 / self.first))
         return self.typical[cls] + (backend.slow[cls] - self.typical[cls]) * fading
 
-    def cold_room(self, backend: Backend, warmth: float) -> bool:  # slow start: earned by sends to others
-        times = COLD_PART * self.settings.safety.tip_multiple if self.first >= 1 else 1.0
-        earned = times * warmth * (self.sends - backend.credit_at)
-        backend.credit, backend.credit_at = min(2.0, backend.credit + earned), self.sends
-        return backend.credit >= 1 and backend.out < max(1.0, backend.limit * warmth)
+    def due(self, some: list[Backend], now: int, cls: int, most: float) -> Backend | None:
+        """Slow start: the cold one of these, if any, that a request falls to. Each gets `most` times the warm
+        part of what a backend of its weight is asked for, out of step at each gateway. A turn that cannot be
+        taken is lost: turns saved up by many gateways could all be taken at one stroke."""
+        found, mean = None, sum(b.info.weight for b in some) / len(some)
+        for backend in some:
+            if (warmth := self.warmth(backend, now)) < 1:
+                part = warmth * min(1.0, SLOWER * self.typical[cls] / self.slowness(backend, cls, now))
+                part *= max(0.0, min(1.0, backend.info.weight / mean)) if mean > 0 else 1.0
+                backend.turn = min(1.0, backend.turn) + most * part / len(some)
+                if backend.turn >= (found.turn if found else 1.0):
+                    found = backend
+        if found:
+            found.turn -= 1
+            full = found.out >= max(1.0, found.limit * self.warmth(found, now))
+        return found if found and not full else None
 
     def pick(self, now: int, cls: int, allowed: Callable[[Backend], bool]) -> Backend | None:
         best = self.pick_of(self.own, now, cls, allowed) if self.used() < 1 else None
         if best is None and len(self.own) < len(self.ready) and self.used() < 1:
             best = self.pick_of(self.ready, now, cls, allowed)
-        self.sends += 1 / max(1, len(self.own))
         if best:
-            best.out, self.out, best.credit = best.out + 1, self.out + 1, best.credit - 1
+            best.out, self.out = best.out + 1, self.out + 1
         return best
 
     def pick_of(
@@ -219,13 +228,18 @@
         some = self.rng.sample(among, min(LOOK, len(among)))
         fresh = {b.info.id: b.load for b in some if now - b.load_at < SECOND}  # older reports tell nothing
         mean = sum(fresh.values()) / max(1, len(fresh)) or 1.0
-        for backend in some:
-            warmth = max(0.01, self.warmth(backend, now))
-            full = backend.out >= max(1.0, backend.limit)
-            if full or not allowed(backend) or (warmth < 1 and not self.cold_room(backend, warmth)):
+        warm = [b for b in some if self.warmth(b, now) >= 1]
+        if len(warm) < len(some):
+            most = COLD_PART * self.settings.safety.tip_multiple
+            room = any(b.out < max(1.0, b.limit) for b in warm)
+            due = self.due(some, now, cls, min(1.0, most) if room else most)
+            if due and allowed(due):
+                return due
+        for backend in warm:
+            if backend.out >= max(1.0, backend.limit) or not allowed(backend):
                 continue
             slow = self.slowness(backend, cls, now)
-            load = backend.out / warmth + self.rng.expovariate(1.0) + fresh.get(backend.info.id, mean) / mean
+            load = backend.out + self.rng.expovariate(1.0) + fresh.get(backend.info.id, mean) / mean
             cost = max(0.0, load - 1) * slow / max(backend.info.weight, 1e-3) + slow  # idle ones: by weight
             cost *= 1.1 if far and backend.info.zone != self.settings.zone else 1.0  # breaks ties
             if cost < best_cost:
@@ -334,9 +348,7 @@
             sums = tuple(float(getattr(a, name)) for name in CARRIED)
             accounts.append(it.CarriedAccount(customer, plans.index(a.plan), a.spread, sums))
             a.tokens = a.owed = a.held = a.share = a.ceiling = 0.0
-        backends = [it.CarriedBackend(n, b.limit, b.credit, tuple(b.slow)) for n, b in fleet.backends.items()]
-        for b in fleet.backends.values():
-            b.credit = 0.0
+        backends = [it.CarriedBackend(n, b.limit, tuple(b.slow)) for n, b in fleet.backends.items()]
         usual, typical = tuple(fleet.usual), tuple(fleet.typical)
         return it.Carried(usual, typical, fleet.more, self.crowd, tuple(accounts), tuple(backends))
 
@@ -350,7 +362,6 @@
             backend = fleet.backends.get(told.id)
             if backend and len(told.slow) == len(s.classes):
                 backend.limit, backend.slow = max(min(1.0, fleet.first / 4), told.limit), list(told.slow)
-                backend.credit, backend.credit_at = min(2.0, told.credit), fleet.sends
         for was in carried.accounts:
             fits = 0 <= was.plan < len(s.plans) and 0 < was.spread <= s.fleet_size
             if fits and len(was.sums) == len(CARRIED) and was.customer not in self.accounts:
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -154,7 +154,6 @@
 class CarriedBackend:
     id: int
     limit: float
-    credit: float  # sends that it has earned, while cold
     slow: tuple[float, ...]  # by class
 
 
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -263,8 +263,8 @@
             backends = []
             for b in raw["backends"]:
                 if number := self._backends.get(b["id"]):
-                    limit, credit = _numbers((b["limit"], b["credit"]))
-                    backends.append(it.CarriedBackend(number, limit, credit, _numbers(b["slow"])))
+                    (limit,) = _numbers((b["limit"],))
+                    backends.append(it.CarriedBackend(number, limit, _numbers(b["slow"])))
             more, crowd = _numbers((raw["more"], raw["crowd"]))
             usual, typical = _numbers(raw["usual"]), _numbers(raw["typical"])
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
