Count requests turned away at the bound towards cold backends' turns

Change: what is turned away counts for the next request, up to one turn; what came before a start counts nothing (a test: it would make all turns whole).

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -159,6 +159,7 @@
         self.usual = [0.0] * len(settings.classes)  # usual latency of an answer, by class
         self.typical = [1.0] * len(settings.classes)  # what `slow` is on average
         self.out, self.more = 0, 0.0
+        self.missed = 0.0  # requests a backend that were turned away since the last one that was not
 
     def used(self) -> float:  # the part out of what may be out at all backends: one at each jams them
         fails = min((t for t, u in zip(self.typical, self.usual, strict=True) if u), default=1.0)
@@ -169,7 +170,8 @@
         for info in event.backends:
             known = self.backends.setdefault(info.id, Backend(info))
             if known.limit == 0 or info.started > known.info.started:
-                known.limit, known.slow, known.turn = self.first, self.typical[:], self.rng.random()
+                known.limit, known.slow = self.first, self.typical[:]
+                known.turn, self.missed = self.rng.random(), 0.0  # what came before was not asked of it
             known.info = info
         whole = event.kind in (ListKind.FULL, ListKind.CACHED)
         named = {info.id for info in event.backends} if whole else self.backends.keys()
@@ -205,7 +207,7 @@
             if (warmth := self.warmth(backend, now)) < 1:
                 part = warmth * min(1.0, SLOWER * self.typical[cls] / self.slowness(backend, cls, now))
                 part *= max(0.0, min(1.0, backend.info.weight / mean)) if mean > 0 else 1.0
-                backend.turn = min(1.0, backend.turn) + most * part / len(some)
+                backend.turn = min(1.0, backend.turn + part * self.missed) + most * part / len(some)
                 if backend.turn >= (found.turn if found else 1.0):
                     found = backend
         if found:
@@ -214,8 +216,11 @@
         return found if found and not full else None
 
     def pick(self, now: int, cls: int, allowed: Callable[[Backend], bool]) -> Backend | None:
-        best = self.pick_of(self.own, now, cls, allowed) if self.used() < 1 else None
-        if best is None and len(self.own) < len(self.ready) and self.used() < 1:
+        if self.used() >= 1:  # jammed, as by backends that died: the cold ones are asked for all the more
+            self.missed += 1 / max(1, len(self.own))
+            return None
+        best, self.missed = self.pick_of(self.own, now, cls, allowed), 0.0
+        if best is None and len(self.own) < len(self.ready):
             best = self.pick_of(self.ready, now, cls, allowed)
         if best:
             best.out, self.out = best.out + 1, self.out + 1
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -54,3 +54,16 @@
         for n in range(200, 205):
             at_once += sum(s.backend == 9 for s in of(g.handle(3 * SECOND, arrival(n)), it.SendAttempt))
     assert at_once < 15  # its part of the 150 requests is 8
+
+
+def test_requests_turned_away_in_a_jam_before_the_start_earn_a_cold_backend_nothing() -> None:
+    free, at_once = (it.Plan("free", rate=0.0, burst=0.0),), 0
+    for seed in range(30):
+        g = Gateway(settings(fleet_size=30, plans=free), seed)
+        g.handle(0, listed(*(backend(n) for n in range(4))))
+        out = [s for n in range(200) for s in of(g.handle(n, arrival(n)), it.SendAttempt)]
+        g.handle(SECOND, listed(backend(9, started=SECOND), kind=it.ListKind.DELTA))
+        for s in out:
+            g.handle(SECOND, it.AttemptEnded(s.request, 0, s.backend, it.Outcome.OK, 9000, True))
+        at_once += sum(s.backend == 9 for s in of(g.handle(SECOND, arrival(300)), it.SendAttempt))
+    assert at_once < 6  # its part of the 30 requests is one or two
