Count a request that was turned away half for cold backends

Cause: counted whole, what is turned away at twice the warm capacity is the cold backends' whole budget, and chance does the rest: of 32 cold starts each in tests/fleet_sim.py three fell with 20 gateways and one with 60.

Change: half.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -33,6 +33,7 @@
 TARGET = 0.32  # latency, as a share of the aim, at which a backend counts as full: tails run three times that
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
 SLOWER = 2.0  # times the usual latency: a cold backend takes longer; one that takes more than this gets less
+TURNED_AWAY = 0.5  # of a request, for the cold: at twice what the warm can do, all is their whole budget
 FAILED = 4.0  # times the usual latency: what an error or no answer is taken for
 MEMORY = 5.0  # s that a backend's slowness is remembered: some tens of answers; longer if few come
 LAST_CHANCE = 0.5  # of the usual latency: a further attempt with less time left is work for nothing
@@ -159,7 +160,7 @@
         self.usual = [0.0] * len(settings.classes)  # usual latency of an answer, by class
         self.typical = [1.0] * len(settings.classes)  # what `slow` is on average
         self.out, self.more = 0, 0.0
-        self.missed = 0.0  # requests a backend that were turned away since the last one that was not
+        self.missed = 0.0  # requests a backend that were turned away since the last that was not
 
     def used(self) -> float:  # the part out of what may be out at all backends: one at each jams them
         fails = min((t for t, u in zip(self.typical, self.usual, strict=True) if u), default=1.0)
@@ -217,7 +218,7 @@
 
     def pick(self, now: int, cls: int, allowed: Callable[[Backend], bool]) -> Backend | None:
         if self.used() >= 1:  # jammed, as by backends that died: the cold ones are asked for all the more
-            self.missed += 1 / max(1, len(self.own))
+            self.missed += TURNED_AWAY / max(1, len(self.own))
             return None
         best, self.missed = self.pick_of(self.own, now, cls, allowed), 0.0
         if best is None and len(self.own) < len(self.ready):
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -40,6 +40,13 @@
     assert sum(day.part(9 * SECOND, SAFETY.ramp_time) for day in days) / len(days) > 0.5
 
 
+@pytest.mark.parametrize("size", [12, 20, 60])
+def test_cold_backends_keep_their_budget_at_twice_what_the_warm_can_do(size: int) -> None:
+    """Had a request that was turned away counted whole for them, three of 32 fell with twenty gateways."""
+    days = [Day(size, seed, load=1.0, burst=2.0).play() for seed in range(8)]
+    assert max(over for day in days for over in day.excess()) < 0
+
+
 def test_turns_that_could_not_be_taken_are_not_saved_up() -> None:
     """Thirty gateways had up to two each: sixty sends at one stroke."""
     free, at_once = (it.Plan("free", rate=0.0, burst=0.0),), 0
