--- a/fleetlab/slopes.py
+++ b/fleetlab/slopes.py
@@ -12,6 +12,7 @@
 BENT = 0.35  # of it, beyond the scatter: a slope that changes by more between the sizes is no one slope
 NOTHING = 0.05  # of the mean: a rise over all the sizes that is no more is none
 WIDE = 0.5  # of the mean: values that lie further apart hide what a slope would be
+OFF = 0.2  # of what the figure spans, beyond the scatter: a size further off is not on the line
 VAGUE = 0.25  # of the slope: an error over that, and the slope is no more than an order of magnitude
 
 
@@ -50,11 +51,13 @@
     error = float(np.sqrt((left**2).sum() / free / spread))
     total = float(((y - y.mean()) ** 2).sum())
     r2 = 1.0 - float((left**2).sum()) / total if total else 1.0
-    fit, why = _judged(points, float(slope), error)
+    fit, why = _judged(points, float(slope), error, float(intercept))
     return Slope(float(slope), error, float(intercept), r2, fit, why)
 
 
-def _judged(points: Sequence[tuple[float, float]], slope: float, error: float) -> tuple[str, str]:
+def _judged(
+    points: Sequence[tuple[float, float]], slope: float, error: float, intercept: float
+) -> tuple[str, str]:
     middle = medians(points)
     sizes, values = list(middle), [value for _, value in points]
     level = statistics.fmean(abs(v) for v in middle.values())
@@ -67,6 +70,10 @@
     upper, above = _between(points, sizes[-2], sizes[-1])
     if abs(upper - lower) > BENT * max(abs(upper), abs(lower)) + below + above:
         return "poor", f"bent: {upper:.3g} at the top, {lower:.3g} below"
+    spans = max(middle.values()) - min(middle.values())
+    for size, value in middle.items():
+        if abs(value - intercept - slope * size) > OFF * spans + 2 * _scatter(points, size):
+            return "poor", f"size {size:g} lies off the line: {value:.3g}, not {intercept + slope * size:.3g}"
     if error > VAGUE * abs(slope):
         return "poor", f"the slope's error is {error / abs(slope):.0%} of it"
     return "line", ""
@@ -75,7 +82,12 @@
 def _between(points: Sequence[tuple[float, float]], low: float, high: float) -> tuple[float, float]:
     """The slope from one size's median to another's, and what the scatter of their repetitions lets it be
     off by."""
-    here, there = ([v for s, v in points if s == size] for size in (low, high))
-    off = sum(statistics.stdev(values) ** 2 for values in (here, there) if len(values) > 1) ** 0.5
-    risen = statistics.median(there) - statistics.median(here)
-    return risen / (high - low), 2 * off / (high - low)
+    middle = medians(points)
+    off = (_scatter(points, low) ** 2 + _scatter(points, high) ** 2) ** 0.5
+    return (middle[high] - middle[low]) / (high - low), 2 * off / (high - low)
+
+
+def _scatter(points: Sequence[tuple[float, float]], size: float) -> float:
+    """The standard deviation of a size's repetitions; 0 for one."""
+    values = [v for s, v in points if s == size]
+    return statistics.stdev(values) if len(values) > 1 else 0.0
--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -235,6 +235,7 @@
     [
         ([(x, x * x) for x in (1.0, 10.0, 100.0, 1000.0, 1500.0)], "poor", "bent"),
         ([(x, y) for x in (1.0, 2.0, 3.0) for y in (1.0, 90.0)], "poor", "scatter"),
+        ([(1.0, 1.0), (2.0, 30.0), (3.0, 3.0), (50.0, 50.0), (100.0, 100.0)], "poor", "size 2 lies off"),
         ([(x, 50.0 + x % 2) for x in (1.0, 2.0, 3.0, 4.0)], "flat", ""),
         ([(1.0, 0.0), (2.0, 0.0), (3.0, 0.0)], "flat", ""),
     ],
