--- a/tests/test_fleetlab.py
+++ b/tests/test_fleetlab.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -236,6 +237,7 @@
     [
         ([(x, x * x) for x in (1.0, 10.0, 100.0, 1000.0, 1500.0)], "poor", "bent"),
         ([(x, y) for x in (1.0, 2.0, 3.0) for y in (1.0, 90.0)], "poor", "scatter"),
+        ([(1.0, 1.0), (2.0, 60.0), (3.0, 3.0), (100.0, 100.0), (200.0, 200.0)], "poor", "size 2 lies off"),
         ([(x, 50.0 + x % 2) for x in (1.0, 2.0, 3.0, 4.0)], "flat", ""),
         ([(1.0, 0.0), (2.0, 0.0), (3.0, 0.0)], "flat", ""),
     ],
@@ -332,6 +334,24 @@
     assert ran.returncode == 2 and error in " ".join(said.split()) and "Traceback" not in said
 
 
+def test_the_page_on_capacity_says_what_the_files_hold() -> None:
+    page, folder = (ROOT / "docs/CAPACITY.md").read_text(), ROOT / "docs/capacity"
+    row = r"^\|[^|]*\| `(\S+\.json)` `(\w+)` \|[^|]*\| (\S+) ± \S+ \| (\S+) \| (\w+) \|$"
+    rows = re.findall(row, page, re.M)
+    assert len(rows) > 40
+    for file, figure, slope, start, fit in rows:
+        found = results.read(folder / file).slopes[figure]
+        told = (f"{found.slope:.3g}", f"{found.intercept:.3g}", found.fit)
+        assert told == (slope, start, fit), (file, figure)
+    for path in folder.iterdir():
+        result = results.read(path)
+        run = f"| `{path.name}` | `{result.command}` | `{result.program}` |"
+        assert run in page and result.whole and not result.changed, path.name
+        for figure, kept in result.slopes.items():
+            found = slopes.fitted([(p.size, p.figures[figure]) for p in result.points if figure in p.figures])
+            assert (found.slope, found.fit) == (pytest.approx(kept.slope, abs=1e-12), kept.fit), figure
+
+
 def test_the_ingress_does_not_import_the_experiments() -> None:
     sources = [*ROOT.glob("ironledge/**/*.py"), ROOT / "requirements.txt"]
     assert not [p.name for p in sources if "fleetlab" in p.read_text()]
