Hold one compact table of all backends, and tell the module of those in the subset

Cause: a change of one backend was several passes over all names (Engine.listed, Backends.settle), each backend took a pool, an entry, and places in five sets and dicts, and a whole list was read by one json.loads of all of it. A list over 8 MiB, some 57,000 backends, could not be read at all.

Change: a directory holds a packed string for each backend. The engine numbers, pools and tells the module of those in its subset only, with how many are ready in all; where the subset is dealt anew it tells the difference. Maintenance keeps what discovery told only of backends that operators named, and the names removed last, in bounds. Pools look only at what changed.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -23,10 +23,11 @@
 from ironledge.net.backends import Backends
 from ironledge.net.clients import Listener
 from ironledge.net.counter import Counter
-from ironledge.net.discovery import Discovery, Listing
+from ironledge.net.discovery import Discovery
 from ironledge.net.engine import Clock, Engine, Names
 from ironledge.net.handover import Handover
 from ironledge.net.http import Room
+from ironledge.net.listing import Listing
 from ironledge.net.maintenance import Maintenance
 from ironledge.net.sockets import CALLERS, Sockets
 from ironledge.wire import WireError, settings_from_json
@@ -130,7 +131,9 @@
 
     def _new_discovery(self, config: Config, index: int | None) -> Discovery:
         size = config.settings.fleet_size
-        made = Discovery(config.discovery, index, lambda listing: self._listed(made, listing), size)
+        made = Discovery(
+            config.discovery, index, lambda listing: self._listed(made, listing), size, self._engine.directory
+        )
         return made
 
     def _new_counter(self, config: Config) -> Counter | None:
@@ -213,7 +216,7 @@
         size, wait = config.settings.fleet_size, limits.connect_timeout
         self.backends = Backends(sockets.backends, config.conn_idle, wait, room, size)
         self.engine.servers = self.backends
-        self.maintenance = Maintenance(clock.now, self.engine.listed)
+        self.maintenance = Maintenance(clock.now, self.engine.listed, self.engine.directory)
         self.listener = Listener(self.engine, sockets, clock.now, room)
         self.sources: Sources | None = None
         self.admin = Admin(self, self._callers)
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -11,9 +11,9 @@
 import httptools
 
 from ironledge.interface import Outcome
-from ironledge.net.discovery import Entry
 from ironledge.net.engine import Answer
 from ironledge.net.http import BUFFERED, KERNEL_BUFFER, SLICE, Body, HttpConnection, Message, Room
+from ironledge.net.listing import Entry
 from ironledge.net.sockets import Share
 
 IDLE_PART = 0.75  # of the time after which a backend closes an idle connection: ours is closed by then
@@ -289,7 +289,7 @@
     """The connections to one backend."""
 
     __slots__ = (
-        "address", "busy", "dials", "idle", "keep", "kept", "name", "now", "ready", "room", "share", "stale",
+        "address", "busy", "dials", "idle", "keep", "kept", "name", "now", "ready", "room", "share",
         "started",
     )  # fmt: skip
 
@@ -299,7 +299,7 @@
             entry.name, entry.address, share, kept, room,
         )  # fmt: skip
         self.now = asyncio.get_running_loop().time
-        self.ready, self.started, self.stale = entry.status == "up", entry.since_us, False
+        self.ready, self.started = entry.status == "up", entry.since_us
         self.idle: list[Link] = []  # the most recently used last
         self.busy: set[Link] = set()
         self.dials: set[Exchange] = set()
@@ -361,6 +361,7 @@
         self._share, self._idle = share, conn_idle_us / 1e6 * IDLE_PART
         self._connect_timeout = connect_timeout_us / 1e6
         self._pools: dict[int, Pool] = {}
+        self._void: set[int] = set()  # of these: what they hold leads nowhere, or must not be used
         self._kept = Kept()
         self._loop = asyncio.get_running_loop()
         self._sweep: asyncio.TimerHandle | None = None
@@ -383,20 +384,21 @@
             if entry.status != "removed":
                 self._pools[backend] = Pool(entry, self._share, self._kept, self._room, self._keep)
             return
-        pool.ready = entry.status == "up"
+        pool.ready, stale = entry.status == "up", False
         if entry.status != "removed":  # a new start or address: what was connected leads to the one before
-            pool.stale = pool.address != entry.address or pool.started != entry.since_us
+            stale = pool.address != entry.address or pool.started != entry.since_us
             pool.address, pool.started = entry.address, entry.since_us
+        if stale or not pool.ready:
+            self._void.add(backend)
 
     def settle(self, gone: Iterable[int]) -> None:
         for backend in gone:
             if pool := self._pools.pop(backend, None):
                 pool.ready = False
                 pool.withdraw()
-        for pool in self._pools.values():
-            if pool.stale or not pool.ready:
-                pool.stale = False
-                pool.withdraw()
+        void, self._void = self._void, set()
+        for backend in void & self._pools.keys():
+            self._pools[backend].withdraw()
 
     # Attempts.
 
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import copy
-import json
 import logging
-import math
-import re
 from collections.abc import Callable
 from enum import Enum, auto
-from typing import Any, cast
+from typing import cast
 
 import httptools
 
+from ironledge.net.directory import Directory
 from ironledge.net.http import MAX_HEAD
+from ironledge.net.listing import Document, Line, Listing
 from ironledge.net.sockets import BackOff
 
 SILENT = 3.0  # s with no line: a beat is due every 2 s, and what a silent watch misses counts as told in 6 s
@@ -27,102 +25,10 @@
 FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first; with a tenth of it,
 # a second round of tries after a release came before discovery had got through the first
 CONNECT_TIMEOUT = 1.0
-MAX_PORT = 65535
-MAX_LINE = 8 * 1024 * 1024
-STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 log = logging.getLogger(__name__)
 
 
-class Entry:
-    """A backend as discovery names it."""
-
-    __slots__ = ("address", "group", "kind", "name", "since_us", "status", "weight", "zone")
-
-    def __init__(self, raw: dict[str, Any]) -> None:
-        self.name, self.status = str(raw["name"]), str(raw["status"])
-        if self.status not in ("up", "draining", "removed"):
-            raise ValueError(f"status {self.status!r} is unknown")
-        # A removed backend needs no more than its name.
-        address = str(raw["address"] if self.status != "removed" else raw.get("address", ":0"))
-        host, _, port = address.rpartition(":")
-        self.address = (host, int(port))
-        if not 0 <= self.address[1] <= MAX_PORT:
-            raise ValueError(f"port {port} is none")
-        self.zone, self.kind = str(raw.get("zone", "")), str(raw.get("type", ""))
-        self.group, self.weight = int(raw.get("group", 0)), float(raw.get("weight", 1.0))
-        self.since_us = round(float(raw.get("since_ms", 0)) * 1000)
-        if not math.isfinite(self.weight):
-            raise ValueError(f"weight {self.weight} is none")
-
-    def told(self) -> dict[str, Any]:
-        """As discovery would tell it."""
-        host, port = self.address
-        return {
-            "name": self.name, "status": self.status, "address": f"{host}:{port}", "zone": self.zone,
-            "type": self.kind, "group": self.group, "weight": self.weight, "since_ms": self.since_us / 1000,
-        }  # fmt: skip
-
-    def but(self, status: str | None = None, since_us: int | None = None) -> Entry:
-        """The same backend, in another state or started at another moment."""
-        other = copy.copy(self)
-        other.status = self.status if status is None else status
-        other.since_us = self.since_us if since_us is None else since_us
-        return other
-
-
-class Listing:
-    """The whole list, or the entries that changed."""
-
-    __slots__ = ("entries", "index", "whole")
-
-    def __init__(self, raw: Any) -> None:
-        try:
-            self.index, self.whole = int(raw["index"]), bool(raw["snapshot"])
-            self.entries = [Entry(e) for e in raw["endpoints"]]
-        except (KeyError, TypeError, AttributeError, OverflowError) as error:
-            raise ValueError(f"list of backends: {error!r}") from None
-
-    @classmethod
-    def of(cls, index: int, whole: bool, entries: list[Entry]) -> Listing:
-        made = cls({"index": index, "snapshot": whole, "endpoints": []})
-        made.entries = entries
-        return made
-
-
-class Document:
-    """JSON that comes in lines: mostly one to each, but an indented one has many."""
-
-    def __init__(self) -> None:
-        self._lines: list[bytes] = []
-        self._size = self._depth = 0
-
-    @property
-    def begun(self) -> bool:
-        return bool(self._lines)
-
-    def add(self, line: bytes) -> Any:
-        """What the line completes, or None where more is to come; ValueError where that can be nothing."""
-        if not self._lines:
-            try:
-                return json.loads(line)
-            except ValueError:
-                if self._deeper(line) <= 0:
-                    raise
-        self._lines.append(line)
-        self._size += len(line)
-        self._depth += self._deeper(line)
-        if self._depth > 0 and line.strip() and self._size <= MAX_LINE:
-            return None
-        text, self._lines, self._size, self._depth = b"\n".join(self._lines), [], 0, 0
-        return json.loads(text)
-
-    @staticmethod
-    def _deeper(line: bytes) -> int:
-        bare = STRING.sub(b"", line)  # a string never goes over the end of a line
-        return sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
-
-
 class Ended(Enum):
     """How a watch came to its end."""
 
@@ -141,8 +47,11 @@
         index: int | None,
         changed: Callable[[Listing], None],
         fleet_size: int = 1,
+        directory: Directory | None = None,
     ) -> None:
+        """`directory`: the list held, if it may be long."""
         self.address, self.index, self._changed = address, index, changed
+        self.directory = directory
         self.heard = asyncio.Event()  # set once a list has been told
         first, longest = TURNED_AWAY
         longer = fleet_size / FLEET_TRIES  # s between one ingress's tries
@@ -162,8 +71,7 @@
         if self._task:
             self._task.cancel()
 
-    def told(self, raw: Any) -> None:
-        listing = Listing(raw)
+    def told(self, listing: Listing) -> None:
         self.index = listing.index
         self._changed(listing)
         self.heard.set()
@@ -200,9 +108,9 @@
         self._discovery, self._loop = discovery, asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._timer: asyncio.TimerHandle | None = None
-        self._rest, self._head, self._last = b"", 0, 0.0
-        self._lines: list[bytes] = []
-        self._document = Document()
+        self._head, self._last = 0, 0.0
+        self._body: list[bytes] = []  # what has come of it and was not read yet
+        self._document = Document(discovery.directory.packed if discovery.directory is not None else None)
         self._watching = self._whole = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -226,24 +134,30 @@
                 return
             if self._head >= 0:
                 self._head += len(data)
-            if len(self._rest) > MAX_LINE or self._head > MAX_HEAD:
+            if self._head > MAX_HEAD:
                 raise ValueError("too long")
-            lines, self._lines = self._lines, []
-            for line in lines:
-                self._line(line)
+            body, self._body = self._body, []
+            for part in body:
+                *ends, begun = part.split(b"\n")
+                for end in ends:
+                    self._line(end)
+                self._document.part(begun)
             if self._whole:  # the list that was asked for first; the watch goes on from its version
                 self._whole = False
+                self._line(b"")  # a list need not end its line
                 if self._document.begun or self._discovery.index is None:
                     raise ValueError("no whole list")
                 self._ask()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError, RecursionError) as error:
             self._end(Ended.UNREADABLE, str(error))
 
-    def _line(self, line: bytes) -> None:
-        if line.strip() or self._document.begun:
-            if (raw := self._document.add(line)) is None:
-                return
-            self._discovery.told(raw)
+    def _line(self, end: bytes) -> None:
+        """A line has come to its end."""
+        read = self._document.end(end)
+        if read is Line.MORE:
+            return
+        if isinstance(read, Listing):
+            self._discovery.told(read)
         self.heard = True
 
     def _end(self, how: Ended, why: str) -> None:
@@ -268,13 +182,10 @@
         self._head = -1
 
     def on_body(self, part: bytes) -> None:
-        *lines, self._rest = (self._rest + part).split(b"\n")
-        self._lines += lines
+        self._body.append(part)
 
     def on_message_complete(self) -> None:
         if self._watching:
             self.transport.close()
             return
         self._whole = True
-        self._lines.append(self._rest)  # a list need not end its line
-        self._rest = b""
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -14,13 +14,15 @@
 
 from ironledge import interface as it
 from ironledge.interface import Outcome
-from ironledge.net.discovery import Entry, Listing
+from ironledge.net.directory import Directory
 from ironledge.net.http import Body
+from ironledge.net.listing import Entry, Listing
+from ironledge.subsetting import deal
 
 ANSWER_MARGIN = 10_000  # us before the client's deadline by which its answer is on the way
 MOST_LOAD = 1e6  # a report of more is none
 LAST_ATTEMPT = 15_000  # us before it by which no attempt is waited for any longer
-STATES = {"up": it.BackendState.READY, "draining": it.BackendState.DRAINING, "removed": it.BackendState.GONE}
+STATES = {"up": it.BackendState.READY, "draining": it.BackendState.DRAINING}
 
 log = logging.getLogger(__name__)
 
@@ -161,10 +163,11 @@
         self._next = 0
         self._past: deque[tuple[int, bytes]] = deque()  # ids that have ended of late: still not new
         self._longest = max(c.deadline for c in settings.classes)
-        self._backends: dict[str, int] = {}  # by name, while it is listed; a number is never used again
+        self.directory = Directory()
+        self._subset = deal(settings.me, settings.fleet_size, 0)  # what of it is told to the module
+        self._backends: dict[str, int] = {}  # those told, by name; a number is never used again
         self._numbers = 0
-        self._listed: set[str] = set()
-        self._up: set[str] = set()
+        self._up: set[str] = set()  # of these
         self._events: deque[it.Event] = deque()
         self._busy = False
 
@@ -227,25 +230,44 @@
     def listed(self, listing: Listing, kind: it.ListKind | None = None) -> None:
         """The module hears first, then attempts are withdrawn: what it sends anew goes by the new list."""
         kind = kind or (it.ListKind.FULL if listing.whole else it.ListKind.DELTA)
-        found = []
-        for entry in listing.entries:
-            number = self._backends.get(entry.name, 0)
-            if not number and entry.status == "removed":
-                continue
-            if not number:
+        self.directory.take(listing)
+        before = self._subset
+        self._subset = deal(self.settings.me, self.settings.fleet_size, self.directory.up, before)
+        changed: Iterable[str] = listing.packed
+        if listing.whole:
+            changed = [*self.directory, *(n for n in self._backends if n not in self.directory)]
+        found: list[it.ListedBackend] = []
+        gone: list[int] = []
+        for name in changed:
+            self._tell(name, found, gone)
+        if self._subset != before and not listing.whole:  # dealt anew: some come in by it, and some leave
+            for name in [n for n in self.directory if self._holds(n) != (n in self._backends)]:
+                self._tell(name, found, gone)
+        if not listing.whole:
+            found += [it.ListedBackend(n, it.BackendState.GONE, 0, 0, 0, 1.0, 0) for n in gone]
+        ready = self.directory.up if self._subset.held > 1 else 0
+        self._events.append(it.BackendsListed(kind, listing.index, tuple(found), ready))
+        self.servers.settle(gone)
+        self._drain()
+
+    def _holds(self, name: str) -> bool:
+        """One that is draining is not taken in for its place in the subset, but stays where it was."""
+        if name not in self.directory or not self._subset.holds(_mark(name)):
+            return False
+        return self._subset.held == 1 or name in self._backends or self.directory.is_up(name)
+
+    def _tell(self, name: str, found: list[it.ListedBackend], gone: list[int]) -> None:
+        if self._holds(name):
+            if name not in self._backends:
                 self._numbers += 1
-                number = self._backends[entry.name] = self._numbers
+                self._backends[name] = self._numbers
+            entry, number = self.directory[name], self._backends[name]
             found.append(self._entry(entry, number))
             self.servers.know(entry, number)
-        here = {e.name for e in listing.entries if e.status != "removed"}
-        gone = {e.name for e in listing.entries if e.status == "removed"}
-        gone |= self._listed - here if listing.whole else set()
-        self._listed = (self._listed | here) - gone
-        up = {e.name for e in listing.entries if e.status == "up"}
-        self._up = up if listing.whole else (self._up - here - gone) | up
-        self._events.append(it.BackendsListed(kind, listing.index, tuple(found)))
-        self.servers.settle([self._backends.pop(n) for n in gone if n in self._backends])
-        self._drain()
+            (self._up.add if entry.status == "up" else self._up.discard)(name)
+        elif number := self._backends.pop(name, 0):
+            gone.append(number)
+            self._up.discard(name)
 
     def hand_over(self) -> dict[str, Any]:
         """What the module has learned, for another process: backends by name, as each numbers its own."""
@@ -480,7 +502,7 @@
         zone, kind = self.names.zones.get(entry.zone, 0), self.names.kinds.get(entry.kind, 0)
         return it.ListedBackend(
             number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us,
-            zlib.crc32(entry.name.encode()),
+            _mark(entry.name),
         )  # fmt: skip
 
 
@@ -515,6 +537,11 @@
         return tuple(values) if len(values) == self._loads else ()
 
 
+def _mark(name: str) -> int:
+    """The same at every ingress, and not 0."""
+    return zlib.crc32(name.encode(errors="surrogatepass")) or 1
+
+
 def _numbers(values: Iterable[Any]) -> tuple[float, ...]:
     found = tuple(float(value) for value in values)
     if not all(map(math.isfinite, found)):
--- a/ironledge/net/maintenance.py
+++ b/ironledge/net/maintenance.py
@@ -2,64 +2,80 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from ironledge import interface as it
-from ironledge.net.discovery import Entry, Listing
+from ironledge.net.directory import Directory
+from ironledge.net.listing import REMOVED, Entry, Listing
 
 Tell = Callable[[Listing, it.ListKind | None], None]
+GONE = 5000  # names removed last that operators may still call by: of the largest fleet those of six hours
 
 
 class Maintenance:
     """The one place where the two meet: the module hears of an ordinary drain, and of an ordinary start."""
 
-    def __init__(self, now: Callable[[], int], tell: Tell) -> None:
+    def __init__(self, now: Callable[[], int], tell: Tell, directory: Directory | None = None) -> None:
+        """`directory`: the table into which `tell` takes what it is told; without one, it is kept here."""
         self.out: set[str] = set()
         self.back: dict[str, int] = {}  # when it was put back: it was restarted meanwhile, so it is cold
-        self.entries: dict[str, Entry] = {}  # as discovery told last
         self.index = 0
-        self._now, self._tell = now, tell
-        self._known: set[str] = set()  # every name told so far: those removed can still be named in a call
+        self._now, self._tell, self._keeps = now, tell, directory is None
+        self._directory = Directory() if directory is None else directory
+        self._named: dict[str, Entry] = {}  # by operators, and listed: as discovery told last
+        self._gone: OrderedDict[str, None] = OrderedDict()
+
+    @property
+    def entries(self) -> Mapping[str, Entry]:
+        """The list as it is told on."""
+        return self._directory
 
     def listed(self, listing: Listing, kind: it.ListKind | None = None) -> None:
+        """A change costs as much as it changes."""
+        packed, directory = listing.packed, self._directory
+        left: Iterable[str] = (n for n in packed if packed[n][0] == REMOVED)
         if listing.whole:
-            self.entries.clear()
-        for entry in listing.entries:
-            self._known.add(entry.name)
-            if entry.status == "removed":
-                self.entries.pop(entry.name, None)
-            else:
-                self.entries[entry.name] = entry
+            self._named.clear()
+            left = [*left, *(n for n in directory if n not in packed)]
+        for name in left:
+            self._named.pop(name, None)
+            self._remember(name)
+        few = packed.keys() & (self.out | self.back.keys()) if listing.whole else packed.keys()
+        for name in few:
+            if packed[name][0] != REMOVED and (name in self.out or name in self.back):
+                self._named[name] = Entry.unpacked(name, packed[name])
+                packed[name] = self._laid_over(self._named[name]).packed()
         self.index = listing.index
-        entries = [self._laid_over(entry) for entry in listing.entries]
-        self._tell(Listing.of(listing.index, listing.whole, entries), kind)
+        self._pass_on(listing, kind)
 
     def described(self) -> dict[str, Any]:
         """For another process: what discovery told last, and what operators asked for."""
-        entries = [entry.told() for entry in self.entries.values()]
+        entries = [self._named.get(entry.name, entry).told() for entry in self._directory.values()]
         listing = {"index": self.index, "snapshot": True, "endpoints": entries}
-        gone = sorted(self._known - self.entries.keys())
+        gone = sorted((self._gone.keys() | self.out) - self._directory.keys())
         return {"listing": listing, "out": sorted(self.out), "back": self.back, "gone": gone}
 
     def take_up(self, told: dict[str, Any]) -> Listing:
         """The other process's list, once what operators asked of it holds here, too."""
         listing = Listing(told["listing"])
         out, back = {str(n) for n in told["out"]}, {str(n): int(at) for n, at in told["back"].items()}
-        self._known |= {str(n) for n in told["gone"]} | out
+        for name in told["gone"]:
+            self._remember(str(name))
         self.out, self.back = out, back
         return listing
 
     def noted(self, name: str, out: bool) -> None:
         """A call at another process of the same ingress: it has answered it, and both follow it."""
-        self._known.add(name)
+        self._remember(name)
         if out:
             self.take_offline(name)
         else:
             self.put_online(name)
 
     def take_offline(self, name: str) -> bool:
-        if name not in self._known:
+        if not self._knows(name):
             return False
         if name not in self.out:
             self.out.add(name)
@@ -68,17 +84,33 @@
 
     def put_online(self, name: str) -> bool:
         """One call back ends the ban, however often the backend was taken out."""
-        if name not in self._known:
+        if not self._knows(name):
             return False
         if name in self.out:
             self.out.discard(name)
             self.back[name] = self._now()
             self._changed(name)
+            self._remember(name)
         return True
 
+    def _knows(self, name: str) -> bool:
+        return name in self._directory or name in self.out or name in self._gone
+
+    def _remember(self, name: str) -> None:
+        self._gone[name] = None
+        self._gone.move_to_end(name)
+        if len(self._gone) > GONE:
+            self._gone.popitem(last=False)
+
     def _changed(self, name: str) -> None:
-        if entry := self.entries.get(name):
-            self._tell(Listing.of(self.index, False, [self._laid_over(entry)]), None)
+        if name in self._directory:
+            entry = self._named.setdefault(name, self._directory[name])
+            self._pass_on(Listing.of(self.index, False, [self._laid_over(entry)]), None)
+
+    def _pass_on(self, listing: Listing, kind: it.ListKind | None) -> None:
+        if self._keeps:
+            self._directory.take(listing)
+        self._tell(listing, kind)
 
     def _laid_over(self, entry: Entry) -> Entry:
         if entry.status == "up" and entry.name in self.out:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -10,8 +10,8 @@
 from ironledge import interface as it
 from ironledge.net.backends import Backends
 from ironledge.net.clients import Listener
-from ironledge.net.discovery import Entry
 from ironledge.net.engine import Clock, Engine, Names
+from ironledge.net.listing import Entry
 from ironledge.net.sockets import Sockets
 from ironledge.wire import settings_from_json
 
--- a/tests/test_net_admin.py
+++ b/tests/test_net_admin.py
@@ -12,7 +12,7 @@
 from ironledge.brain import Gateway
 from ironledge.net import clients as clients_module
 from ironledge.net.admin import Admin
-from ironledge.net.discovery import Listing
+from ironledge.net.listing import Listing
 from ironledge.net.maintenance import Maintenance
 from tests.net_helpers import (
     HOST,
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -12,7 +12,7 @@
 
 from ironledge import interface as it
 from ironledge.net import clients as clients_module
-from ironledge.net.discovery import Listing
+from ironledge.net.listing import Listing
 from tests.net_helpers import HOST, OK, Ingress, PeerServer, Script, answers, read_answer, request, send_first
 
 
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -9,9 +9,9 @@
 
 from ironledge import interface as it
 from ironledge.interface import Outcome
-from ironledge.net.discovery import Entry, Listing
 from ironledge.net.engine import LAST_ATTEMPT, Answer, Engine, Names, Wanted
 from ironledge.net.http import Body, Room
+from ironledge.net.listing import Entry, Listing
 from tests.net_helpers import RAW, SETTINGS, Script
 
 START = 1_000_000_000
--- a/tests/test_net_races.py
+++ b/tests/test_net_races.py
@@ -17,7 +17,7 @@
 from ironledge.interface import Outcome
 from ironledge.net import clients as clients_module
 from ironledge.net.backends import Backends, Exchange, Pool
-from ironledge.net.discovery import Listing
+from ironledge.net.listing import Listing
 from tests.net_helpers import (
     HOST,
     OK,
--- a/tests/test_net_stream.py
+++ b/tests/test_net_stream.py
@@ -11,8 +11,8 @@
 from ironledge import interface as it
 from ironledge.interface import Outcome
 from ironledge.net import clients as clients_module
-from ironledge.net.discovery import Listing
 from ironledge.net.http import BUFFERED, KEPT_WHOLE, Body, Room
+from ironledge.net.listing import Listing
 from tests.net_helpers import (
     HOST,
     OK,
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -14,7 +14,9 @@
 
 from ironledge import __main__ as main_module
 from ironledge.net import discovery as discovery_module
-from ironledge.net.discovery import Discovery, Document, Listing, Watch
+from ironledge.net import listing as listing_module
+from ironledge.net.discovery import Discovery, Watch
+from ironledge.net.listing import Document, Listing
 from tests.net_helpers import HOST, Peer, PeerServer
 from tests.test_net_main import config
 
@@ -211,7 +213,7 @@
 
 
 def test_a_document_that_ends_nowhere_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery_module, "MAX_LINE", 1000)
+    monkeypatch.setattr(listing_module, "MAX_LINE", 1000)
     document = Document()
     assert document.add(b"[") is None
     with pytest.raises(ValueError):
