--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -12,10 +12,11 @@
 from typing import Any
 
 from fleetlab.model import Shape, address
+from fleetlab.program import Entry, Listing, table
 from ironledge import interface as it
 from ironledge.brain import Gateway
 from ironledge.net.counter import Counter
-from ironledge.net.discovery import Discovery, Entry, Listing
+from ironledge.net.discovery import Discovery
 from ironledge.net.engine import Answer, Clock, Engine, Names, Wanted
 from ironledge.net.http import Body, Room
 from ironledge.net.maintenance import Maintenance
@@ -80,10 +81,11 @@
         gateway = Gateway(settings, settings.me + 1)
         self.engine = Engine(gateway, settings, Names(settings, raw), loop, clock.now)
         self.engine.servers = Servers()
-        self.maintenance = Maintenance(clock.now, self.engine.listed)
+        shared = table(self.engine)
+        self.maintenance = Maintenance(clock.now, self.engine.listed, **shared)
         self.counter = Counter(counter, settings.counter.timeout, settings.fleet_size)
         self.engine.counter = self.counter
-        self.discovery = Discovery(discovery, None, self._listed, settings.fleet_size)
+        self.discovery = Discovery(discovery, None, self._listed, settings.fleet_size, **shared)
         self._room = Room()
         self._number = 0
 
--- a/fleetlab/probe.py
+++ b/fleetlab/probe.py
@@ -11,9 +11,9 @@
 
 from fleetlab import proc
 from fleetlab.model import OUTAGE, Shape, entry
+from fleetlab.program import Listing
 from ironledge import interface as it
 from ironledge.brain import Gateway
-from ironledge.net.discovery import Listing
 from ironledge.wire import settings_from_json
 
 SECOND = 1_000_000
