Hand a long list over in parts, packed, to the process that takes over

Cause: at an upgrade the old process made one message of the whole list and the new one read it whole, which took both of them twice the memory that an ingress may have.

Change: the answer to hello counts the list, and comes after a message for each thousand backends, packed as both processes hold them. A list that did not come whole is not taken up: discovery tells it. The answer of an earlier version's process is read as before; an earlier version that takes over from this one starts by discovery's list.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -10,7 +10,7 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -234,7 +234,7 @@
             port = await self.admin.listen(*config.admin)
             log.info("operators call at %s:%d", config.admin[0], port)
         told = await self.handover.find(self._take_up) if self.handover else None
-        known = self._told or known
+        known, self._told = self._told or known, None
         if known:
             self.maintenance.listed(known, it.ListKind.CACHED)
         self.sources = Sources(self.engine, self.maintenance, config, known.index if known else None)
@@ -272,6 +272,12 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             log.warning("handover: what the other process tells cannot be read: %r", error)
 
+    def parts(self) -> Iterable[dict[str, Any]]:
+        return self.maintenance.parts()
+
+    def take_part(self, part: dict[str, Any]) -> None:
+        self.maintenance.take_part(part)
+
     def described(self) -> dict[str, Any]:
         return self.maintenance.described() | {"drained": self.listener.draining}
 
--- a/ironledge/net/directory.py
+++ b/ironledge/net/directory.py
@@ -47,6 +47,10 @@
         held = self._packed.get(entry.name)
         return held if held == packed else packed
 
+    def text(self, name: str) -> str:
+        """The entry, packed. KeyError if it is not listed."""
+        return self._packed[name]
+
     def __getitem__(self, name: str) -> Entry:
         return Entry.unpacked(name, self._packed[name])
 
--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -1,8 +1,8 @@
 """From an old process to a new one that was started beside it: a channel over a Unix socket in `$TMPDIR`.
 
-JSON, a line a message. The new one asks `hello` and later `take`; each is answered once. A `note` goes either
-way, for an operators' call that the other process must follow, too. The channel stays open while both live:
-its end tells each that the other is gone."""
+JSON, a line a message. The new one asks `hello` and later `take`; each is answered once, `hello` after a
+`part` for each thousand backends. A `note` goes either way, for an operators' call that the other process
+must follow, too. The channel stays open while both live: its end tells each that the other is gone."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, Protocol, cast
 
@@ -29,7 +29,13 @@
     """What the process does at its end of the channel."""
 
     def described(self) -> Message:
-        """The list of backends and what operators asked for."""
+        """What operators asked for, and how long the list of backends is that `parts` are of."""
+
+    def parts(self) -> Iterable[Message]:
+        """The list of backends, told in pieces before it is described."""
+
+    def take_part(self, part: Message) -> None:
+        """Such a piece of the other's list."""
 
     def hand_over(self) -> Message:
         """Stops accepting, and gives away what the module has learned."""
@@ -79,6 +85,8 @@
     def _told(self, message: Message) -> None:
         if "ask" in message:
             self.tell({"answer": self._handover.asked(self, message["ask"])})
+        elif "part" in message and self._take:
+            self._handover.process.take_part(message["part"])
         elif "note" in message:
             self._handover.process.noted(message["note"])
         elif "answer" in message and self._asked and not self._asked.done():
@@ -168,6 +176,8 @@
         self._channel = channel
         if what == "hello":
             self.process.shares(with_other=True)
+            for part in self.process.parts():
+                channel.tell({"part": part})
             return self.process.described()
         if what == "take" and not self.gave:
             self.gave = True
--- a/ironledge/net/listing.py
+++ b/ironledge/net/listing.py
@@ -50,14 +50,6 @@
         if not math.isfinite(self.weight):
             raise ValueError(f"weight {self.weight} is none")
 
-    def told(self) -> dict[str, Any]:
-        """As discovery would tell it."""
-        host, port = self.address
-        return {
-            "name": self.name, "status": self.status, "address": f"{host}:{port}", "zone": self.zone,
-            "type": self.kind, "group": self.group, "weight": self.weight, "since_ms": self.since_us / 1000,
-        }  # fmt: skip
-
     def but(self, status: str | None = None, since_us: int | None = None) -> Entry:
         """The same backend, in another state or started at another moment."""
         other = copy.copy(self)
--- a/ironledge/net/maintenance.py
+++ b/ironledge/net/maintenance.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from itertools import islice
 from typing import Any
 
 from ironledge import interface as it
@@ -13,6 +14,8 @@
 Tell = Callable[[Listing, it.ListKind | None], None]
 GONE = 5000  # names removed last that operators may still call by: of the largest fleet those of six hours
 
+PART = 1000  # entries told to another process at a time
+
 
 class Maintenance:
     """The one place where the two meet: the module hears of an ordinary drain, and of an ordinary start."""
@@ -26,6 +29,7 @@
         self._directory = Directory() if directory is None else directory
         self._named: dict[str, Entry] = {}  # by operators, and listed: as discovery told last
         self._gone: OrderedDict[str, None] = OrderedDict()
+        self._coming: dict[str, str] = {}  # packed: told by the process that this one takes over from
 
     @property
     def entries(self) -> Mapping[str, Entry]:
@@ -52,14 +56,32 @@
 
     def described(self) -> dict[str, Any]:
         """For another process: what discovery told last, and what operators asked for."""
-        entries = [self._named.get(entry.name, entry).told() for entry in self._directory.values()]
-        listing = {"index": self.index, "snapshot": True, "endpoints": entries}
         gone = sorted((self._gone.keys() | self.out) - self._directory.keys())
-        return {"listing": listing, "out": sorted(self.out), "back": self.back, "gone": gone}
+        counted = {"index": self.index, "count": len(self._directory)}
+        return {"listed": counted, "out": sorted(self.out), "back": self.back, "gone": gone}
+
+    def parts(self) -> Iterator[dict[str, str]]:
+        """The list that `described` counts, some entries at a time, packed: all at once take much memory."""
+        names = iter(self._directory)
+        while some := list(islice(names, PART)):
+            yield {n: self._named[n].packed() if n in self._named else self._directory.text(n) for n in some}
+
+    def take_part(self, part: dict[str, str]) -> None:
+        """Some of the other process's list, before it is taken up."""
+        for name, packed in part.items():
+            self._coming[name] = Entry.unpacked(name, packed).packed()
 
     def take_up(self, told: dict[str, Any]) -> Listing:
-        """The other process's list, once what operators asked of it holds here, too."""
-        listing = Listing(told["listing"])
+        """The other process's list, once what operators asked of it holds here, too. ValueError if some of
+        the list is missing."""
+        coming, self._coming = self._coming, {}
+        if "listing" in told:  # by a process of an earlier version
+            listing = Listing(told["listing"])
+        elif len(coming) == told["listed"]["count"]:
+            listing = Listing({"index": told["listed"]["index"], "snapshot": True, "endpoints": []})
+            listing.packed = coming
+        else:
+            raise ValueError(f"{len(coming)} backends of {told['listed']['count']}")
         out, back = {str(n) for n in told["out"]}, {str(n): int(at) for n, at in told["back"].items()}
         for name in told["gone"]:
             self._remember(str(name))
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -30,6 +30,7 @@
 class Process:
     def __init__(self) -> None:
         self.notes: list[dict[str, Any]] = []
+        self.taken: list[dict[str, Any]] = []
         self.shared: list[bool] = []
         self.given = self.alone = 0
         self.changed = asyncio.Event()
@@ -37,6 +38,12 @@
     def described(self) -> dict[str, Any]:
         return {"drained": True}
 
+    def parts(self) -> list[dict[str, Any]]:
+        return [{"a": "u"}, {"b": "d"}]
+
+    def take_part(self, part: dict[str, Any]) -> None:
+        self.taken.append(part)
+
     def hand_over(self) -> dict[str, Any]:
         self.given += 1
         return {"accounts": []}
@@ -68,7 +75,7 @@
     await serving.offer()
     told: list[Any] = []
     assert await coming.find(told.append) == {"drained": True} and (old.given, old.shared) == (0, [True])
-    assert told == [{"drained": True}]
+    assert told == [{"drained": True}] and new.taken == list(old.parts())
     assert await coming.take() == {"accounts": []} and old.given == 1
     coming.note({"backend": "a", "out": True})
     await old.until(lambda: old.notes == [{"backend": "a", "out": True}])
@@ -156,12 +163,16 @@
     old.take_offline("a")
     old.take_offline("b")
     old.put_online("b")
-    made.listed(made.take_up(json.loads(json.dumps(old.described()))))  # as it comes through the channel
+    for part in old.parts():  # as it comes through the channel
+        made.take_part(json.loads(json.dumps(part)))
+    made.listed(made.take_up(json.loads(json.dumps(old.described()))))
     told = {e.name: (e.status, e.since_us, e.address) for e in heard[-1].entries}
     assert told["a"] == ("draining", 3000, (HOST, 1)) and told["c"] == ("up", 0, (HOST, 3))
     assert told["b"] == ("up", 7_000_000, (HOST, 2))
     made.noted("a", out=False)
     assert heard[-1].entries[0].status == "up" and not made.out
+    with pytest.raises(ValueError):
+        made.take_up(old.described())  # the list itself did not come
 
 
 def lease(gateway: Gateway, now: int, number: int) -> tuple[list[it.Action], float]:
--- a/tests/test_net_listing.py
+++ b/tests/test_net_listing.py
@@ -253,8 +253,8 @@
         assert maintenance.take_offline(name)
         assert world.engine.directory[name].status == "draining" and world.last.ready == 1999
         assert [b.state for b in world.last.backends] == [it.BackendState.DRAINING] * (name in held)
-        described = {e["name"]: e["status"] for e in maintenance.described()["listing"]["endpoints"]}
-        assert described[name] == "up"  # as discovery told it
+        parts = {n: packed for part in maintenance.parts() for n, packed in part.items()}
+        assert len(parts) == 2000 and Entry.unpacked(name, parts[name]).status == "up"  # as discovery told it
         assert maintenance.put_online(name)
         assert world.engine.directory[name].since_us == 7_000_000 and world.last.ready == 2000
 
