Bound every wait for discovery by one deadline: a change is in force within 6 s

Cause: TURNED_AWAY grew with the fleet to 50 s (75 by chance), and silence, dial and waits had limits of their own that added up; the term is 6 s after discovery had the change and could be reached, whatever a failed, refused or given-up call allows.

Change: net/retry.py holds one deadline from the last line heard; waits and the patience with a silent call are cut to it. A call that is held and then turned away is followed by the next up to 4.4 s after its own beginning, by the fleet's size. After a watch that ends without a line the whole list is asked for. At a reload the first list has 4 s.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -28,6 +28,7 @@
 from ironledge.net.handover import Handover
 from ironledge.net.http import Room
 from ironledge.net.maintenance import Maintenance
+from ironledge.net.retry import IN_FORCE
 from ironledge.net.sockets import CALLERS, Sockets
 from ironledge.wire import WireError, settings_from_json
 
@@ -38,6 +39,7 @@
 AGENT_WAIT = 0.3  # s that a start waits for the list: the agent on this machine has it at once, or is silent
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
+RELOADED = 4.0  # s after SIGHUP: what the new discovery has to tell counts as told
 LEAVE_COUNTER = 1.0  # s after SIGHUP: the old counter closes its connections after 1.5 s
 
 Address = tuple[str, int]
@@ -128,9 +130,9 @@
         engine.counter = self._counter
         self._discovery.start()
 
-    def _new_discovery(self, config: Config, index: int | None) -> Discovery:
+    def _new_discovery(self, config: Config, index: int | None, within: float = IN_FORCE) -> Discovery:
         size = config.settings.fleet_size
-        made = Discovery(config.discovery, index, lambda listing: self._listed(made, listing), size)
+        made = Discovery(config.discovery, index, lambda listing: self._listed(made, listing), size, within)
         return made
 
     def _new_counter(self, config: Config) -> Counter | None:
@@ -158,7 +160,7 @@
         if config.discovery != (self._next or self._discovery).address:
             if self._next:
                 self._next.stop()
-            self._next = self._new_discovery(config, None)
+            self._next = self._new_discovery(config, None, RELOADED)
             self._next.start()
         if config.counter != self._config.counter:
             if self._change:
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -9,24 +9,14 @@
 import math
 import re
 from collections.abc import Callable
-from enum import Enum, auto
+from functools import partial
 from typing import Any, cast
 
 import httptools
 
 from ironledge.net.http import MAX_HEAD
-from ironledge.net.sockets import BackOff
-
-SILENT = 3.0  # s with no line: a beat is due every 2 s, and what a silent watch misses counts as told in 6 s
-CUT = (0.02, 0.1)  # s between tries where no answer came: the first, the longest. The agent is on this
-# machine: a try costs nobody anything, and what the agent has counts as told, watched or not
-UNREADABLE = (0.1, 1.5)  # ... where one came that is no list: it may be the same again
-TURNED_AWAY = (0.1, 1.5)  # ... where discovery has more callers than it can answer; in a large fleet longer:
-FLEET_TRIES = 4.0  # a second by all ingresses, at the longest waits: where more ask than it can answer, each
-# call has waited too long by its turn, and nobody is answered
-FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first; with a tenth of it,
-# a second round of tries after a release came before discovery had got through the first
-CONNECT_TIMEOUT = 1.0
+from ironledge.net.retry import CONNECT_TIMEOUT, IN_FORCE, SILENT, Ended, RetryPolicy
+
 MAX_PORT = 65535
 MAX_LINE = 8 * 1024 * 1024
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
@@ -123,15 +113,6 @@
         return sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
 
 
-class Ended(Enum):
-    """How a watch came to its end."""
-
-    CUT = auto()
-    SILENT = auto()
-    UNREADABLE = auto()
-    TURNED_AWAY = auto()
-
-
 class Discovery:
     """`index` is the version held; with none, the whole list is asked for first."""
 
@@ -141,18 +122,12 @@
         index: int | None,
         changed: Callable[[Listing], None],
         fleet_size: int = 1,
+        within: float = IN_FORCE,
     ) -> None:
+        """`within`: s in which the first list has to be told, where discovery has it and can be reached."""
         self.address, self.index, self._changed = address, index, changed
         self.heard = asyncio.Event()  # set once a list has been told
-        first, longest = TURNED_AWAY
-        longer = fleet_size / FLEET_TRIES  # s between one ingress's tries
-        if longer > longest:
-            first, longest = FIRST_PART * longer, longer
-        self._tries = {
-            Ended.CUT: BackOff(*CUT),
-            Ended.UNREADABLE: BackOff(*UNREADABLE),
-            Ended.TURNED_AWAY: BackOff(first, longest),
-        }
+        self.retry = RetryPolicy(fleet_size, within)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -169,12 +144,14 @@
         self.heard.set()
 
     async def _keep_watching(self) -> None:
-        loop = asyncio.get_running_loop()
+        loop, retry, whole = asyncio.get_running_loop(), self.retry, self.index is None
         while True:
-            ended, heard = Ended.CUT, False
+            ended = Ended.CUT
+            retry.calls(loop.time())
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
-                    transport, watch = await loop.create_connection(lambda: Watch(self), *self.address)
+                    made = loop.create_connection(partial(Watch, self, whole), *self.address)
+                    transport, watch = await made
             except OSError:  # TimeoutError is one
                 pass
             else:
@@ -182,43 +159,44 @@
                     await watch.closed.wait()
                 finally:
                     transport.abort()
-                ended, heard = watch.ended, watch.heard
-            if heard:
-                for why in self._tries.keys() - {ended}:
-                    self._tries[why].well()
-                if ended is Ended.CUT:
-                    self._tries[ended].well()
-            if ended is not Ended.SILENT:  # that was a wait: what comes next must find an open watch
-                await asyncio.sleep(self._tries[ended].wait())
+                ended = watch.ended
+                if watch.heard:
+                    retry.well(ended)
+            whole = ended is Ended.UNTOLD or self.index is None  # the next watch may say nothing, either
+            if wait := retry.wait(ended, loop.time()):
+                await asyncio.sleep(wait)
 
 
 class Watch(asyncio.Protocol):
     transport: asyncio.Transport
 
-    def __init__(self, discovery: Discovery) -> None:
+    def __init__(self, discovery: Discovery, whole: bool) -> None:
+        """`whole`: the whole list is asked for first, and the watch goes on from its version."""
         self.heard, self.closed, self.ended = False, asyncio.Event(), Ended.CUT
         self._discovery, self._loop = discovery, asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._timer: asyncio.TimerHandle | None = None
-        self._rest, self._head, self._last = b"", 0, 0.0
+        self._rest, self._head, self._last, self._silence = b"", 0, 0.0, SILENT
         self._lines: list[bytes] = []
         self._document = Document()
-        self._watching = self._whole = False
+        self._watching, self._whole, self._told = not whole, False, False  # by this answer
+        self._ended = False  # in order
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
         self._last = self._loop.time()
+        self._silence = self._discovery.retry.silence(self._last)
         self._ask()
         self._check()
 
     def _ask(self) -> None:
         (host, port), index = self._discovery.address, self._discovery.index
-        target = "/discovery/hosts" + ("" if index is None else f"?watch=1&from={index}")
-        self._watching, self._head = index is not None, 0
+        target = "/discovery/hosts" + (f"?watch=1&from={index}" if self._watching else "")
+        self._head, self._told = 0, False
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        self._last = self._loop.time()
+        self._last, self._silence = self._loop.time(), SILENT
         try:
             self._parser.feed_data(data)
             if self._parser.get_status_code() >= 300:
@@ -231,11 +209,14 @@
             lines, self._lines = self._lines, []
             for line in lines:
                 self._line(line)
-            if self._whole:  # the list that was asked for first; the watch goes on from its version
-                self._whole = False
-                if self._document.begun or self._discovery.index is None:
+            if self._whole:
+                self._whole, self._watching = False, True
+                if self._document.begun or not self._told:
                     raise ValueError("no whole list")
                 self._ask()
+            elif self._ended:
+                self.ended = Ended.CUT if self._told else Ended.UNTOLD
+                self.transport.close()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError, RecursionError) as error:
             self._end(Ended.UNREADABLE, str(error))
 
@@ -244,7 +225,10 @@
             if (raw := self._document.add(line)) is None:
                 return
             self._discovery.told(raw)
-        self.heard = True
+        elif not self._watching:
+            return
+        self.heard = self._told = True
+        self._discovery.retry.heard(self._last)
 
     def _end(self, how: Ended, why: str) -> None:
         log.warning("discovery: %s", why)
@@ -258,9 +242,9 @@
 
     def _check(self) -> None:
         """A cut-off discovery says nothing and the connection stays open: missing beats are the only sign."""
-        left = self._last + SILENT - self._loop.time()
+        left = self._last + self._silence - self._loop.time()
         if left <= 0:
-            self._end(Ended.SILENT, f"silent for {SILENT:.0f} s, watching anew")
+            self._end(Ended.SILENT, f"silent for {round(self._silence, 1):g} s, watching anew")
             return
         self._timer = self._loop.call_later(left, self._check)
 
@@ -273,7 +257,7 @@
 
     def on_message_complete(self) -> None:
         if self._watching:
-            self.transport.close()
+            self._ended = True
             return
         self._whole = True
         self._lines.append(self._rest)  # a list need not end its line
--- a/ironledge/net/sockets.py
+++ b/ironledge/net/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import math
 import random
 import select
 import termios
@@ -28,9 +29,10 @@
     def well(self) -> None:
         self._next = self._first
 
-    def wait(self) -> float:
-        wait, self._next = self._next, min(2 * self._next, self._longest)
-        return wait * (0.5 + self._chance())
+    def wait(self, most: float = math.inf) -> float:
+        """Seconds; where that would be more than `most`, from half of it to all of it, by chance."""
+        wait, self._next = self._next * (0.5 + self._chance()), min(2 * self._next, self._longest)
+        return wait if wait <= most else most * (0.5 + self._chance() / 2)
 
 
 class Share:
