Let no attempt begin once its client has left: each asks the socket as it begins

Change: Engine._send asks the client's socket, and Backends once more when a dial has come up; a body half written is withdrawn; an end of sending tells the engine at once. An attempt whose request is over when its connection comes up ends as moot.

--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -38,12 +38,20 @@
     with an answer too long to be held; without it, such an answer is an error."""
 
     __slots__ = (
-        "_ended", "at", "body", "data", "dial", "keeps", "link", "moved_at", "over", "started", "written",
+        "_ended", "at", "body", "data", "dial", "gone", "keeps", "link", "moved_at", "over", "started",
+        "written",
     )  # fmt: skip
 
     def __init__(
-        self, data: bytes, ended: Ended, body: Body | None = None, started: Started | None = None
+        self,
+        data: bytes,
+        ended: Ended,
+        body: Body | None = None,
+        started: Started | None = None,
+        gone: Callable[[], bool] = lambda: False,
     ) -> None:
+        """`gone`: whether its client has left; asked when a connection has come up for it."""
+        self.gone = gone
         self.data, self.body, self.at, self._ended, self.started = data, body, 0, ended, started
         self.keeps = body is not None and body.whole
         self.dial: asyncio.Task[None] | None = None
@@ -71,10 +79,9 @@
         return self.written
 
     def withdraw(self) -> bool:
-        if not self.dial:
-            return False
-        self.abort()
-        return True
+        if not self.written:
+            self.abort()
+        return not self.written
 
     def _leave_body(self) -> None:
         if self.body and self.link and self.body.grew == self.link.pass_on:
@@ -408,10 +415,11 @@
         once: bool = False,
         body: Body | None = None,
         started: Started | None = None,
+        gone: Callable[[], bool] = lambda: False,
     ) -> Exchange:
         """`once`: it may not run again, so a reset is the end of it. Where kept connections often end at the
         next request, a new one is worth its price then."""
-        exchange, pool = Exchange(data, ended, body, started), self._pools.get(backend)
+        exchange, pool = Exchange(data, ended, body, started, gone), self._pools.get(backend)
         if pool is None or not pool.ready:
             exchange.lost()
             return exchange
@@ -447,8 +455,9 @@
                 self._share.closed()
                 if sock:
                     sock.close()
-            elif exchange.over:
+            elif exchange.over or exchange.gone():
                 link.drop()
+                exchange.end(Answer(Outcome.MOOT))
             else:
                 pool.busy.add(link)
                 link.send(exchange)
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -551,8 +551,17 @@
         if not self._engine.arrived(wanted, self):
             self._write(409, b"", b"a request with this Request-Id is under way\n")
 
+    def eof_received(self) -> None:
+        """It is gone now: the connection's own end may have to wait for what the client does not read."""
+        if self._current is not None:
+            current, self._current = self._current, None
+            self._engine.client_gone(current)
+
     # The engine's answers.
 
+    def gone(self) -> bool:
+        return self.transport.is_closing() or left(self.transport)
+
     def serve(self, answer: Answer) -> None:
         kind = b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
         self._write(200, kind, answer.body, answer.told_length)
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -49,7 +49,7 @@
         """Gives the attempt up; True if it may have run, False if its last byte was never written."""
 
     def withdraw(self) -> bool:
-        """Gives it up if it still waits for a connection: nothing of it has been written. True if so."""
+        """Gives it up if its last byte has not been written: it has not run, and will not. True if so."""
 
 
 @dataclass(slots=True)
@@ -79,7 +79,10 @@
         once: bool = False,
         body: Body | None = None,
         started: Callable[[Answer], None] | None = None,
-    ) -> Exchange: ...
+        gone: Callable[[], bool] = ...,
+    ) -> Exchange:
+        """`gone` is asked once more when a connection has come up: whether its client has left meanwhile."""
+
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
     def close_idle(self, backend: int) -> None: ...
 
@@ -92,6 +95,9 @@
 
 
 class Client(Protocol):
+    def gone(self) -> bool:
+        """Whether it has left, told by the socket itself: its end may be unread as yet."""
+
     def serve(self, answer: Answer) -> None: ...
     def stream(self, answer: Answer) -> None:
         """The answer has begun, and goes on as its body comes; it may yet break."""
@@ -213,17 +219,27 @@
     def client_gone(self, id: bytes) -> None:
         request = self._requests.get(self._ids.get(id, 0))
         if request and not request.over:
-            self._close(request)
-            for attempt in [a for a in request.attempts if not a.ended]:  # no cancelling: never written
-                if attempt.exchange and attempt.exchange.withdraw():
-                    self._ended(request, attempt, Answer(Outcome.MOOT))
-            self._post(it.ClientGone(request.number))
+            self._leave(request)
         elif request:  # an answer that is passed on has no reader any more
             for attempt in [a for a in request.attempts if a.latency >= 0 and not a.ended]:
                 if attempt.exchange:
                     attempt.exchange.abort()
                 self._ended(request, attempt, Answer(Outcome.CANCELLED))
 
+    def _leave(self, request: Request) -> None:
+        self._close(request)
+        for attempt in [a for a in request.attempts if not a.ended]:  # no cancelling: never written
+            if attempt.exchange and attempt.exchange.withdraw():
+                self._ended(request, attempt, Answer(Outcome.MOOT))
+        self._post(it.ClientGone(request.number))
+
+    def _gone(self, request: Request) -> bool:
+        """Asked at the moment an attempt begins: none does once the client has left, though the loop may be
+        late to read its end, or does not read on while enough waits. A look costs a microsecond."""
+        if not request.over and request.client.gone():
+            self._leave(request)
+        return request.over
+
     def listed(self, listing: Listing, kind: it.ListKind | None = None) -> None:
         """The module hears first, then attempts are withdrawn: what it sends anew goes by the new list."""
         kind = kind or (it.ListKind.FULL if listing.whole else it.ListKind.DELTA)
@@ -372,6 +388,7 @@
         if request is None:
             self._events.append(it.AttemptEnded(number, 0, backend, Outcome.MOOT, 0, True))
             return
+        gone = self._gone(request)
         wanted, coming = request.wanted, request.whole_at is None
         left = (wanted.timeout if coming else request.deadline - now) - LAST_ATTEMPT
         limits, second = self.settings.limits, request.out > 0 and not self.settings.limits.may_duplicate
@@ -380,7 +397,7 @@
         request.out += 1
         second = second or (request.out > 1 and coming)  # one reader at a time
         second = second or wanted.body.gone > 0  # what was passed on cannot be sent again
-        if request.over or spent or second or left <= 0:
+        if gone or spent or second or left <= 0:
             self._ended(request, attempt, Answer(Outcome.MOOT))
             return
         attempt.wait = min(timeout, left) if timeout else left
@@ -398,6 +415,7 @@
             once,
             None if held else wanted.body,
             lambda answer: self._started(request, attempt, answer),
+            lambda: self._gone(request),
         )
 
     def _wait(self, request: Request, attempt: Attempt) -> None:
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -338,8 +338,9 @@
 async def test_a_discovery_that_turns_callers_away_is_asked_ever_less_often(
     size: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Up to a bound: a change counts as told after 6 s, whatever a refused call allows. How a large fleet that
-    is held in line before shares such a discovery out is in test_retry."""
+    """Up to a bound: a change counts as told after 6 s, whatever a refused call allows. How a large fleet
+    that is held in line before shares such a discovery out is in test_retry."""
+
     def turn_away(peer: Peer) -> None:
         peer.transport.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
 
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -79,6 +79,9 @@
 
     def close_idle(self, backend: int) -> None: ...
 
+    def gone(self) -> bool:
+        return False
+
     def serve(self, answer: Answer) -> None:
         self.answers.append(answer.body)
 
--- /dev/null
+++ b/tests/test_net_gone.py
@@ -0,0 +1,188 @@
+"""Over loopback connections: a client that has left, and the moment in which an attempt would begin."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+import pytest_asyncio
+
+from ironledge import interface as it
+from ironledge.interface import Outcome
+from ironledge.net import clients as clients_module
+from ironledge.net.backends import Backends, Exchange, Pool
+from ironledge.net.engine import Answer
+from tests.net_helpers import HOST, Ingress, PeerServer, Script, request
+from tests.test_net_clients import listing
+from tests.test_net_races import asked
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closing resets
+TOKEN = 1
+
+
+class LateCounter:
+    """Answers when the test says."""
+
+    def __init__(self) -> None:
+        self.answer: Callable[[Outcome, float], None] = lambda outcome, total: None
+
+    def add(self, name: int, amount: float, ttl_us: int, answered: Callable[[Outcome, float], None]) -> None:
+        self.answer = answered
+
+
+@pytest_asyncio.fixture
+async def backend() -> AsyncIterator[PeerServer]:
+    server = await PeerServer().start()
+    yield server
+    server.stop()
+
+
+@pytest_asyncio.fixture
+async def ingress(backend: PeerServer, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Ingress]:
+    """A connection that is not read is not looked at by itself: only attempts tell."""
+    monkeypatch.setattr(clients_module, "LEFT_LOOK", 60.0)
+    ingress = Ingress(Script())
+    await ingress.start()
+    ingress.engine.listed(listing(backend.port))
+    yield ingress
+    ingress.stop()
+
+
+def client(ingress: Ingress, data: bytes) -> socket.socket:
+    made = socket.create_connection((HOST, ingress.port))
+    made.sendall(data)
+    return made
+
+
+def leave(made: socket.socket, how: str) -> None:
+    """On loopback, its end is in the ingress's socket when this returns."""
+    if how == "resets":
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    made.close()
+
+
+MANY = b"".join(request(f"r{n}") for n in range(12))  # more than are read
+
+
+@pytest.mark.parametrize("how", ["closes", "resets"])
+@pytest.mark.parametrize("sent", [request("r0"), MANY], ids=["one", "many"])
+@pytest.mark.parametrize("begins", ["by the counter's answer", "by a timer", "after an outcome"])
+async def test_no_attempt_begins_once_the_client_has_left(
+    ingress: Ingress, backend: PeerServer, begins: str, sent: bytes, how: str
+) -> None:
+    """Whether its end is unread as the loop is late (here: in one turn of it), or as nothing is read."""
+    counter = ingress.engine.counter = LateCounter()
+
+    def rule(event: it.Event) -> list[it.Action]:
+        if isinstance(event, it.RequestArrived):
+            first = it.AddToCounter(5, 1.0, 1_000_000) if "counter" in begins else it.SendAttempt(1, 1, 0)
+            return [first] if event.request == 1 else []
+        tries = isinstance(event, it.CountAnswered | it.TimerFired | it.AttemptEnded)
+        return [it.SendAttempt(1, 1, 0)] if tries and not ingress.script.of(it.ClientGone) else []
+
+    ingress.script.rule = rule
+    made = client(ingress, sent)
+    await ingress.script.seen(it.RequestArrived)
+    before = [] if "counter" in begins else [b"r0"]
+    await backend.until(lambda: asked(backend) == before)
+    if sent is MANY:
+        (connection,) = ingress.listener.connections
+        while not connection._paused:
+            await asyncio.sleep(0)
+    leave(made, how)
+    if "counter" in begins:
+        counter.answer(Outcome.OK, 1.0)
+    elif "timer" in begins:
+        ingress.engine._fire(TOKEN)
+    else:
+        (pool,) = ingress.backends._pools.values()
+        next(iter(pool.busy)).give_up()
+    assert ingress.script.of(it.ClientGone)
+    (moot,) = [e for e in ingress.script.of(it.AttemptEnded) if e.outcome is Outcome.MOOT]
+    assert moot.final
+    (pool,) = ingress.backends._pools.values()
+    assert not pool.dials and len(pool.busy) <= len(before)
+    assert asked(backend) == before
+
+
+@pytest.mark.parametrize("how", ["closes", "resets"])
+async def test_nothing_is_written_to_a_connection_that_comes_up_after_the_client_has_left(
+    ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    """Its end is behind requests that are not read, so nobody has told."""
+    up, dialling, done, connect = asyncio.Event(), asyncio.Event(), asyncio.Event(), Backends._connect
+
+    async def late(self: Backends, pool: Pool, exchange: Exchange) -> None:
+        dialling.set()
+        await up.wait()
+        await connect(self, pool, exchange)
+        done.set()
+
+    monkeypatch.setattr(Backends, "_connect", late)
+    ingress.script.rule = lambda event: (
+        [it.SendAttempt(1, 1, 0)] if isinstance(event, it.RequestArrived) and event.request == 1 else []
+    )
+    made = client(ingress, MANY)
+    async with asyncio.timeout(10):
+        await dialling.wait()
+        leave(made, how)
+        up.set()
+        await done.wait()
+    (ended,) = ingress.script.of(it.AttemptEnded)
+    assert ended.outcome is Outcome.MOOT and ended.final and ingress.script.of(it.ClientGone)
+    await backend.until(lambda: len(backend.closed) == 1)
+    assert asked(backend) == []
+
+
+async def test_an_attempt_that_nobody_wants_when_its_connection_comes_up_ends_unsent(
+    ingress: Ingress, backend: PeerServer
+) -> None:
+    """Also where its request is over for another reason than its client: else it would be out for ever."""
+    ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    exchange = ingress.backends.send(1, request("r0"), ended.set_result, gone=lambda: True)
+    async with asyncio.timeout(10):
+        assert (await ended).outcome is Outcome.MOOT
+    await backend.until(lambda: len(backend.closed) == 1)
+    assert exchange.over and asked(backend) == [] and ingress.sockets.backends.open == 0
+
+
+async def test_an_attempt_whose_body_is_half_written_when_the_client_leaves_goes_no_further(
+    ingress: Ingress, backend: PeerServer
+) -> None:
+    """Also where attempts may not be cancelled: it begins with its last byte, and the backend reads late."""
+    ingress.script.rule = lambda event: (
+        [it.SendAttempt(1, 1, 0)] if isinstance(event, it.RequestArrived) else []
+    )
+    size = 1_000_000
+    head = request("r0", "save", Idempotency_Key="k").replace(b"Length: 0", b"Length: %d" % size)
+    backend._server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    backend.heard = lambda peer: peer.transport.pause_reading()
+    made = await asyncio.to_thread(client, ingress, head + bytes(size))
+    await ingress.script.seen(it.RequestArrived)
+    await backend.until(lambda: bool(backend.peers))
+    made.close()
+    await ingress.script.seen(it.ClientGone)
+    (ended,) = ingress.script.of(it.AttemptEnded)
+    assert ended.outcome is Outcome.MOOT and ended.final
+
+
+async def test_a_client_that_ends_its_sending_is_gone_though_its_connection_cannot_end(
+    ingress: Ingress, backend: PeerServer
+) -> None:
+    """It reads nothing, so what it was sent holds the connection up: its request was left under way."""
+    ingress.script.rule = lambda event: (
+        [it.SendAttempt(1, 1, 0)] if isinstance(event, it.RequestArrived) else []
+    )
+    made = client(ingress, request("r0"))
+    await backend.until(lambda: asked(backend) == [b"r0"])
+    (connection,) = ingress.listener.connections
+    connection.transport.set_write_buffer_limits(high=1 << 30)
+    connection.transport.write(bytes(16_000_000))
+    assert connection.transport.get_write_buffer_size()
+    made.shutdown(socket.SHUT_WR)
+    await ingress.script.seen(it.ClientGone)
+    assert connection in ingress.listener.connections
+    made.close()
