--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -64,6 +64,9 @@
 
     stream = serve
 
+    def gone(self) -> bool:
+        return False
+
     def refuse(self, retry_after: int) -> None:
         self.refused += 1
 
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from enum import Enum, auto
+from functools import partial
 from typing import cast
 
 import httptools
@@ -13,29 +13,11 @@
 from ironledge.net.directory import Directory
 from ironledge.net.http import MAX_HEAD
 from ironledge.net.listing import Document, Line, Listing
-from ironledge.net.sockets import BackOff
-
-SILENT = 3.0  # s with no line: a beat is due every 2 s, and what a silent watch misses counts as told in 6 s
-CUT = (0.02, 0.1)  # s between tries where no answer came: the first, the longest. The agent is on this
-# machine: a try costs nobody anything, and what the agent has counts as told, watched or not
-UNREADABLE = (0.1, 1.5)  # ... where one came that is no list: it may be the same again
-TURNED_AWAY = (0.1, 1.5)  # ... where discovery has more callers than it can answer; in a large fleet longer:
-FLEET_TRIES = 4.0  # a second by all ingresses, at the longest waits: where more ask than it can answer, each
-# call has waited too long by its turn, and nobody is answered
-FIRST_PART = 0.25  # of the longest wait, in a fleet for which that is longer: the first; with a tenth of it,
-# a second round of tries after a release came before discovery had got through the first
-CONNECT_TIMEOUT = 1.0
+from ironledge.net.retry import CONNECT_TIMEOUT, IN_FORCE, SILENT, Ended, RetryPolicy
 
 log = logging.getLogger(__name__)
 
 
-class Ended(Enum):
-    """How a watch came to its end."""
-
-    CUT = auto()
-    SILENT = auto()
-    UNREADABLE = auto()
-    TURNED_AWAY = auto()
 
 
 class Discovery:
@@ -47,21 +29,15 @@
         index: int | None,
         changed: Callable[[Listing], None],
         fleet_size: int = 1,
+        within: float = IN_FORCE,
         directory: Directory | None = None,
     ) -> None:
-        """`directory`: the list held, if it may be long."""
+        """`within`: s in which the first list has to be told, where discovery has it and can be reached;
+        `directory`: the list held, if it may be long."""
         self.address, self.index, self._changed = address, index, changed
         self.directory = directory
         self.heard = asyncio.Event()  # set once a list has been told
-        first, longest = TURNED_AWAY
-        longer = fleet_size / FLEET_TRIES  # s between one ingress's tries
-        if longer > longest:
-            first, longest = FIRST_PART * longer, longer
-        self._tries = {
-            Ended.CUT: BackOff(*CUT),
-            Ended.UNREADABLE: BackOff(*UNREADABLE),
-            Ended.TURNED_AWAY: BackOff(first, longest),
-        }
+        self.retry = RetryPolicy(fleet_size, within)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -77,12 +53,14 @@
         self.heard.set()
 
     async def _keep_watching(self) -> None:
-        loop = asyncio.get_running_loop()
+        loop, retry, whole = asyncio.get_running_loop(), self.retry, self.index is None
         while True:
-            ended, heard = Ended.CUT, False
+            ended = Ended.CUT
+            retry.calls(loop.time())
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
-                    transport, watch = await loop.create_connection(lambda: Watch(self), *self.address)
+                    made = loop.create_connection(partial(Watch, self, whole), *self.address)
+                    transport, watch = await made
             except OSError:  # TimeoutError is one
                 pass
             else:
@@ -90,43 +68,44 @@
                     await watch.closed.wait()
                 finally:
                     transport.abort()
-                ended, heard = watch.ended, watch.heard
-            if heard:
-                for why in self._tries.keys() - {ended}:
-                    self._tries[why].well()
-                if ended is Ended.CUT:
-                    self._tries[ended].well()
-            if ended is not Ended.SILENT:  # that was a wait: what comes next must find an open watch
-                await asyncio.sleep(self._tries[ended].wait())
+                ended = watch.ended
+                if watch.heard:
+                    retry.well(ended)
+            whole = ended is Ended.UNTOLD or self.index is None  # the next watch may say nothing, either
+            if wait := retry.wait(ended, loop.time()):
+                await asyncio.sleep(wait)
 
 
 class Watch(asyncio.Protocol):
     transport: asyncio.Transport
 
-    def __init__(self, discovery: Discovery) -> None:
+    def __init__(self, discovery: Discovery, whole: bool) -> None:
+        """`whole`: the whole list is asked for first, and the watch goes on from its version."""
         self.heard, self.closed, self.ended = False, asyncio.Event(), Ended.CUT
         self._discovery, self._loop = discovery, asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._timer: asyncio.TimerHandle | None = None
-        self._head, self._last = 0, 0.0
+        self._head, self._last, self._silence = 0, 0.0, SILENT
         self._body: list[bytes] = []  # what has come of it and was not read yet
         self._document = Document(discovery.directory.packed if discovery.directory is not None else None)
-        self._watching = self._whole = False
+        self._watching, self._whole, self._told = not whole, False, False  # by this answer
+        self._ended = False  # in order
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
         self._last = self._loop.time()
+        self._silence = self._discovery.retry.silence(self._last)
         self._ask()
         self._check()
 
     def _ask(self) -> None:
         (host, port), index = self._discovery.address, self._discovery.index
-        target = "/discovery/hosts" + ("" if index is None else f"?watch=1&from={index}")
-        self._watching, self._head = index is not None, 0
+        target = "/discovery/hosts" + (f"?watch=1&from={index}" if self._watching else "")
+        self._head, self._told = 0, False
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        self._last = self._loop.time()
+        self._last, self._silence = self._loop.time(), SILENT
         try:
             self._parser.feed_data(data)
             if self._parser.get_status_code() >= 300:
@@ -142,23 +121,27 @@
                 for end in ends:
                     self._line(end)
                 self._document.part(begun)
-            if self._whole:  # the list that was asked for first; the watch goes on from its version
-                self._whole = False
+            if self._whole:
                 self._line(b"")  # a list need not end its line
-                if self._document.begun or self._discovery.index is None:
+                self._whole, self._watching = False, True
+                if self._document.begun or not self._told:
                     raise ValueError("no whole list")
                 self._ask()
+            elif self._ended:
+                self.ended = Ended.CUT if self._told else Ended.UNTOLD
+                self.transport.close()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError, RecursionError) as error:
             self._end(Ended.UNREADABLE, str(error))
 
     def _line(self, end: bytes) -> None:
         """A line has come to its end."""
         read = self._document.end(end)
-        if read is Line.MORE:
+        if read is Line.MORE or (read is Line.BEAT and not self._watching):
             return
         if isinstance(read, Listing):
             self._discovery.told(read)
-        self.heard = True
+        self.heard = self._told = True
+        self._discovery.retry.heard(self._last)
 
     def _end(self, how: Ended, why: str) -> None:
         log.warning("discovery: %s", why)
@@ -172,9 +155,9 @@
 
     def _check(self) -> None:
         """A cut-off discovery says nothing and the connection stays open: missing beats are the only sign."""
-        left = self._last + SILENT - self._loop.time()
+        left = self._last + self._silence - self._loop.time()
         if left <= 0:
-            self._end(Ended.SILENT, f"silent for {SILENT:.0f} s, watching anew")
+            self._end(Ended.SILENT, f"silent for {round(self._silence, 1):g} s, watching anew")
             return
         self._timer = self._loop.call_later(left, self._check)
 
@@ -186,6 +169,6 @@
 
     def on_message_complete(self) -> None:
         if self._watching:
-            self.transport.close()
+            self._ended = True
             return
         self._whole = True
