Give the pacing of calls to the counter a module of its own, in the field's words

What was crowd, pace, luck and call_at in the middle of the gateway is CallPacing with its congestion, and the part of a customer's calls that succeeded. A process of the version before can still hand over to this one.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from ironledge import interface as it
+from ironledge.congestion import CallPacing
 from ironledge.interface import BackendState, ListKind, Outcome, Repeat, Scope
 from ironledge.subsetting import deal, mix
 
@@ -19,18 +20,13 @@
 LEASE_LIFE = 1.0  # s of demand taken ahead: long enough to save calls, short enough not to strand units
 OFFSETS = (1, 3, 7)  # slots looked at: d_0, then doubling; N = 3 retries, a client's usual most; S = the last
 SPARE = 0.6  # part of the bound under which a fleet has room for second copies and paid units beyond a quota
-CALM = 3 * SECOND  # without a call lost: the counter turns nobody away now
-PROMPT = 0.25  # of the counter's time-out: within it, nothing had waited there
-CALLS_OUT = 64.0  # calls to the counter in its time-out by all gateways: more than a healthy one has waiting
-CALL_GAP = 4_000  # us between two calls of a gateway, at the least, while all are answered promptly
-QUEUED = 1.02  # how the time between calls grows with an answer that had to wait there, below that many calls
 KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
 WIDE = 12  # gateways a customer: with more, each knows next to nothing of the store but from the counter
 EPOCH = 8  # windows that one name of a fading count lasts: its weights grow by e in each, and stay exact
 HOLD = 0.25  # of what a wide customer's store has left: the most that one gateway takes ahead of it
 PATIENCE = 0.1  # of a class's aim that a request may wait until a call to the counter can be made
-LUCK = 0.6  # the weight of the last call in a customer's luck ...
-REMEMBERED = 60 * SECOND  # for which a wide customer's luck is kept: each gateway sees few of its requests
+LAST_CALL = 0.6  # the weight of the last call in the part of a customer's calls that brought units ...
+REMEMBERED = 60 * SECOND  # for which a wide customer's part is kept: each gateway sees few of its requests
 LAST = 0.03  # the weight of the last request in the part of them that was heard of at the counter
 PRIOR = 0.1  # ... and of its first one in that of its plan's customers
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
@@ -47,7 +43,7 @@
 BROKEN = (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)
 CARRIED = (
     "level", "level_at", "share", "owed", "tokens", "rate", "heard_at", "usual", "demand_at", "ceiling",
-    "used", "held", "faded_at", "luck",
+    "used", "held", "faded_at", "success",
 )  # fmt: skip
 
 
@@ -82,7 +78,7 @@
     used: float = 0.0  # by all gateways, as the counter last told
     held: float = 0.0  # of these, leased here and not spent; below nothing: spent here and not told
     faded_at: int = 0
-    luck: float = -1.0  # part of the calls for it that brought units; below nothing: none was made
+    success: float = -1.0  # part of the calls for it that brought units; below nothing: none was made
     open: int = 0  # attempts out
     waiting: list[Request] = field(default_factory=list)  # for the counter's answer
 
@@ -356,13 +352,10 @@
         self.requests: dict[int, Request] = {}
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
         self.calls: dict[int, deque[tuple[Account, int, float, bool, float]]] = {}  # by name, in order
-        self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
+        self.pacing = CallPacing(settings.counter.timeout, settings.fleet_size)
+        self.swept_at = self.now = 0
         self.heard_part = 1.0  # of wide customers' requests: those not sent without the counter's word
-        self.lost_at = -60 * SECOND  # a call to the counter that was turned away or not answered
-        self.luck = dict.fromkeys(settings.plans, 1.0)  # of a wide customer of whom nothing is known
-        self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
-        self.most = max(1.0, min(32.0, 1.5 * SECOND / max(1.0, self.pace)))  # a trial call a second or so
-        self.least = min(1.0, CALL_GAP / max(1.0, self.pace))
+        self.success = dict.fromkeys(settings.plans, 1.0)  # of a wide customer of whom nothing is known
         self.slot_us = limits.advises_retry * limits.max_retry_after or SECOND  # d_0, T0: longest wait heeded
         self.actions: list[it.Action] = []
 
@@ -404,14 +397,16 @@
             a.tokens = a.owed = a.held = a.share = a.ceiling = 0.0
         backends = [it.CarriedBackend(n, b.limit, tuple(b.slow)) for n, b in fleet.backends.items()]
         usual, typical = tuple(fleet.usual), tuple(fleet.typical)
-        return it.Carried(usual, typical, fleet.more, self.crowd, tuple(accounts), tuple(backends))
+        congestion = self.pacing.congestion
+        return it.Carried(usual, typical, fleet.more, congestion, tuple(accounts), tuple(backends))
 
     def take_up(self, carried: it.Carried) -> None:
         """Goes on where another process stopped; what does not fit these settings is left."""
         s, fleet = self.settings, self.fleet
         if len(carried.usual) == len(carried.typical) == len(s.classes):
             fleet.usual, fleet.typical = list(carried.usual), list(carried.typical)
-            fleet.more, self.crowd = max(0.0, carried.more), min(self.most, max(self.least, carried.crowd))
+            fleet.more = max(0.0, carried.more)
+            self.pacing.set(carried.congestion)
         for told in carried.backends:
             backend = fleet.backends.get(told.id)
             if backend and len(told.slow) == len(s.classes):
@@ -454,7 +449,7 @@
             account.tokens -= units if self.send(request) else 0.0
         elif answered or account.bound(self.now) + account.tokens < units:
             self.overflow(request)  # the store cannot hold it, whatever the siblings did: no call needed
-        elif late or (not account.asking and self.call_at > self.now):
+        elif late or (not account.asking and not self.pacing.may_call(self.now)):
             self.admit_unheard(request)  # no counter or time, or calls enough made
         else:
             account.waiting.append(request)
@@ -466,21 +461,20 @@
         account, units, event = request.account, request.event.units, request.event
         account.fade(self.now)
         room = account.most(units) - account.used + min(0.0, account.held)
-        luck = account.luck if account.luck >= 0 else self.luck[account.plan]
-        spare = (self.now - self.call_at) / self.stroke()  # of the calls that may be made at one stroke
+        chance = account.success if account.success >= 0 else self.success[account.plan]
         if account.held >= units and not account.waiting:
             account.held -= units if self.send(request) else 0.0
         elif answered or (room < units and not account.asking):
             self.overflow(request)  # used up, as far as is known; the others can but have used more
         elif account.asking:
             account.waiting.append(request)
-        elif spare >= 1 - luck:  # calls that will likely bring nothing are made where nothing else needs them
+        elif self.pacing.unused(self.now) >= 1 - chance:  # calls that will likely bring nothing come last
             account.waiting.append(request)
             self.ask_wide(account, event.customer)
         elif self.now - account.heard_at < account.window_us and room - units > account.most(units) / 2:
             account.held -= units if self.send(request) else 0.0  # told with the next call
-        elif luck > 0.5 and self.now < request.came + PATIENCE * request.cls.aim:
-            turn = max(self.now, self.call_at) + self.settings.tick
+        elif chance > 0.5 and self.now < request.came + PATIENCE * request.cls.aim:
+            turn = max(self.now, self.pacing.next_at) + self.settings.tick
             self.actions.append(it.SetTimer(event.request, turn))
         else:
             self.admit_unheard(request)
@@ -492,8 +486,8 @@
         part = min(account.share, room, even) / units if units else 1.0
         if account.plan.burst >= units * account.spread:
             part = part // 1  # else never as much as one
-        if account.spread > WIDE and account.luck < 0:
-            part *= self.luck[account.plan]  # nothing is known of it, but of its plan's customers
+        if account.spread > WIDE and account.success < 0:
+            part *= self.success[account.plan]  # nothing is known of it, but of its plan's customers
         if self.fleet.rng.random() >= part:
             account.share -= units * part  # the draw was for all of it: a second one would make it more
             self.overflow(request)
@@ -552,16 +546,16 @@
         account.held += (amount - over) / left
         account.rate = min(plan.rate, (amount - over) / LEASE_LIFE)
         account.share = max(0.0, account.share - (amount - over)) if over < amount else 0.0
-        lucky, prior = float(over < amount), self.luck[plan]
-        if account.luck < 0:
-            self.luck[plan], account.luck = prior + PRIOR * (lucky - prior), prior
-        account.luck += LUCK * (lucky - account.luck)
+        brought, prior = float(over < amount), self.success[plan]
+        if account.success < 0:
+            self.success[plan], account.success = prior + PRIOR * (brought - prior), prior
+        account.success += LAST_CALL * (brought - account.success)
 
     def ask(self, account: Account, customer: int) -> None:  # a lease: what waits, and demand ahead
         room, units = account.bound(self.now), account.waiting[0].event.units
         need = max(0.0, min(units - account.tokens, room))
         ahead = min(max(account.usual * LEASE_LIFE, units), (room - need) / (2 * account.spread))
-        ahead *= max(1.0, self.crowd)
+        ahead *= max(1.0, self.pacing.congestion)
         account.asking, window = True, self.now // account.window_us
         name, start = count_name(customer, window), window * account.window_us
         owed, account.owed = account.owed, 0.0
@@ -577,31 +571,14 @@
         self, name: int, account: Account, start: int, amount: float, lease: bool, owed: float
     ) -> None:
         self.calls.setdefault(name, deque()).append((account, start, amount, lease, owed))
-        self.call_at = int(max(self.call_at, self.now - self.stroke()) + self.pace * self.crowd)
-
-    def stroke(self) -> float:  # us whose calls may be made at one stroke, after a lull
-        return SECOND / max(1.0, self.crowd)
+        self.pacing.called(self.now)
 
     def count_answered(self, event: it.CountAnswered) -> None:
         if not (queue := self.calls.pop(event.name, None)):
             return
         account, start, amount, lease, owed = queue.popleft()
         self.calls.update({event.name: queue} if queue else {})
-        heard = event.outcome is Outcome.OK and math.isfinite(event.total)
-        # Counter slow, silent, refusing, crowded: fewer calls out, rarer, for more; quota / spread meanwhile.
-        # Harms a customer whose traffic all comes through one gateway: it waits longer for its units.
-        # A connection that broke tells nothing of how busy the counter is.
-        step = 1.5 if not heard else 0.95 if event.latency <= self.settings.counter.timeout else 1.1
-        step = 1.0 if event.outcome is Outcome.RESET else step
-        # A prompt one, after none was lost, speaks for the calls not made meanwhile: else many gateways, each
-        # of which makes one a second after a silence, would come back the later the more they are.
-        self.lost_at = self.lost_at if heard else self.now
-        prompt = event.latency <= PROMPT * self.settings.counter.timeout
-        step = step ** max(1.0, self.crowd) if prompt and self.now - self.lost_at > CALM else step
-        # One that answers promptly is asked ever more often, whatever the fleet's size; a line there ends
-        # that before calls are turned away.
-        step = QUEUED if heard and not prompt and self.crowd <= 1 else step
-        self.crowd = min(self.most, max(self.least, self.crowd * step))
+        heard = self.pacing.answered(self.now, event.outcome, event.total, event.latency)
         account.fade(self.now)
         if event.outcome in NEVER_RAN:  # nothing was added
             account.held -= owed if account.spread > WIDE else 0.0
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -164,7 +164,7 @@
     usual: tuple[float, ...]  # by class
     typical: tuple[float, ...]  # by class
     more: float
-    crowd: float
+    congestion: float  # of the counter: times the interval between calls to a healthy one
     accounts: tuple[CarriedAccount, ...]
     backends: tuple[CarriedBackend, ...]
 
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -303,12 +303,13 @@
                 if number := self._backends.get(b["id"]):
                     (limit,) = _numbers((b["limit"],))
                     backends.append(it.CarriedBackend(number, limit, _numbers(b["slow"])))
-            more, crowd = _numbers((raw["more"], raw["crowd"]))
+            earlier = raw.get("crowd")  # its name until now
+            more, congestion = _numbers((raw["more"], raw.get("congestion", earlier)))
             usual, typical = _numbers(raw["usual"]), _numbers(raw["typical"])
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             log.warning("handover: what the other process learned cannot be read: %r", error)
             return
-        self._gateway.take_up(it.Carried(usual, typical, more, crowd, tuple(accounts), tuple(backends)))
+        self._gateway.take_up(it.Carried(usual, typical, more, congestion, tuple(accounts), tuple(backends)))
 
     @property
     def can_send(self) -> bool:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -208,7 +208,7 @@
         (add,) = of(actions, it.AddToCounter)  # it is still asked for every new customer
         actions = g.handle(n * SECOND, it.CountAnswered(add.name, it.Outcome.RESET, 0.0, 100))
         sent += len(of(actions, it.SendAttempt))
-    assert g.crowd == 1 and sent == 20  # meanwhile, each by the customer's share
+    assert g.pacing.congestion == 1 and sent == 20  # meanwhile, each by the customer's share
 
 
 def test_leases_and_a_full_store_are_one_burst() -> None:
@@ -223,7 +223,7 @@
     g = gateway()
     (add,) = of(g.handle(0, arrival(1)), it.AddToCounter)
     g.handle(60_000, it.CountAnswered(add.name, it.Outcome.OK, add.amount, 60_000))  # its time-out is 30 ms
-    assert g.crowd > 1
+    assert g.pacing.congestion > 1
 
 
 def test_what_has_been_leased_is_not_spent_again_while_the_counter_is_silent() -> None:
@@ -251,7 +251,7 @@
 def test_calls_come_back_soon_after_a_silence_if_answers_are_prompt(took: int, recovered: bool) -> None:
     """Forty gateways went on with one call a second each for half a minute, though answers took a few ms."""
     g = Gateway(settings(fleet_size=40), 1)
-    g.crowd = g.most
+    g.pacing.congestion = g.pacing.most
     calls = []
     for n in range(800):  # a hundred customers in a second
         now = SECOND + n * 10_000
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -35,7 +35,7 @@
     assert calls[1] < 30 < calls[0]  # 64 in a time-out of 30 ms, by all gateways together
 
 
-def sent_by_fleet(every: int, seconds: int, crowd: float, lost_at: float = -1) -> tuple[int, int]:
+def sent_by_fleet(every: int, seconds: int, congestion: float, lost_at: float = -1) -> tuple[int, int]:
     """One customer (burst 4, rate 2) asks at chance moments, once in `every` us, at chance ones of thirty
     gateways; how much is sent on inside its quota, and beyond. The counter forgets all once, at `lost_at`."""
     fleet, counter, chance = [wide(30) for _ in range(30)], Counter(), random.Random(5)
@@ -46,7 +46,7 @@
             counter.totals.clear()
         now, number, store = now + gap, number + 1, min(4.0, store + 2 * gap / SECOND)
         g = chance.choice(fleet)
-        g.crowd = crowd
+        g.pacing.congestion = congestion
         if finish(g, now, settle(g, now, arrival(number, spread=30, time_left=SECOND), counter)):
             sent[store < 1] += 1
             store -= store >= 1
@@ -55,17 +55,17 @@
 
 def test_a_heavy_customer_of_many_gateways_gets_its_quota_and_hardly_more() -> None:
     """At a crowded counter, where draws by the last window's demand let in as much again beyond the quota."""
-    inside, beyond = sent_by_fleet(SECOND // 10, 60, crowd=4.0)
+    inside, beyond = sent_by_fleet(SECOND // 10, 60, congestion=4.0)
     assert inside > 0.7 * (4 + 2 * 60) and beyond < 0.1 * inside
 
 
 def test_a_count_that_is_lost_opens_the_gate_to_a_burst_at_most() -> None:
-    _, beyond = sent_by_fleet(SECOND // 10, 20, crowd=1.0, lost_at=8.2 * SECOND)
+    _, beyond = sent_by_fleet(SECOND // 10, 20, congestion=1.0, lost_at=8.2 * SECOND)
     assert beyond <= 4
 
 
 def test_a_customer_of_many_gateways_that_asks_for_half_its_quota_is_let_in() -> None:
-    inside, _ = sent_by_fleet(SECOND, 60, crowd=4.0)
+    inside, _ = sent_by_fleet(SECOND, 60, congestion=4.0)
     assert inside > 60
 
 
@@ -80,7 +80,7 @@
 
 def test_a_request_waits_for_its_turn_at_the_counter_and_is_then_decided() -> None:
     g, counter = wide(30), Counter()
-    g.crowd, g.call_at = 8.0, SECOND + 50_000
+    g.pacing.congestion, g.pacing.next_at = 8.0, SECOND + 50_000
     actions = g.handle(SECOND, arrival(1, spread=30))
     (timer,) = of(actions, it.SetTimer)
     assert not of(actions, it.AddToCounter | it.Refuse | it.SendAttempt)
@@ -90,7 +90,7 @@
 
 def test_a_request_whose_turn_does_not_come_is_decided_without_the_counter() -> None:
     g = wide(30)
-    g.crowd, g.call_at = 8.0, 60 * SECOND
+    g.pacing.congestion, g.pacing.next_at = 8.0, 60 * SECOND
     assert not of(g.handle(SECOND, arrival(1, spread=30)), it.SendAttempt)
     later = SECOND + int(PATIENCE * SECOND)
     assert of(g.handle(later, it.TimerFired(1)), it.SendAttempt)
@@ -101,7 +101,7 @@
     (ask,) = of(g.handle(SECOND, arrival(1, spread=30)), it.AddToCounter)
     g.handle(SECOND, it.CountAnswered(ask.name, it.Outcome.OK, 1e4, 1000))  # used up many times over
     now = 30 * SECOND  # fifteen windows later nothing of it is left, but that it asked too much
-    g.crowd, g.call_at = 4.0, now - SECOND // 8  # half of what may be called at one stroke
+    g.pacing.congestion, g.pacing.next_at = 4.0, now - SECOND // 8  # half of what may be called at one stroke
     assert not of(g.handle(now, arrival(2, spread=30)), it.AddToCounter)
     assert of(g.handle(now, arrival(3, customer=8, spread=30)), it.AddToCounter)
 
@@ -111,7 +111,7 @@
     (ask,) = of(g.handle(SECOND, arrival(1, spread=30)), it.AddToCounter)
     g.handle(SECOND, it.CountAnswered(ask.name, it.Outcome.TIMEOUT, 0.0, 30_000))  # sent, by its even part
     assert g.flying
-    g.call_at = 0
+    g.pacing.next_at = 0
     (ask,) = of(g.handle(SECOND, arrival(2, spread=30)), it.AddToCounter)
     taken = ask.amount / math.exp(SECOND % (8 * 2 * SECOND) / (2 * SECOND))
     assert taken == pytest.approx(2.0)
@@ -304,12 +304,12 @@
     """Of two hundred refused asks, how many are given back after as many requests went on unheard."""
     g, now = wide(30), SECOND
     for n in range(unheard):
-        g.call_at = 60 * SECOND  # no call may be made
+        g.pacing.next_at = 60 * SECOND  # no call may be made
         g.handle(now, arrival(n, customer=n, spread=30))
         finish(g, now, g.handle(now + int(PATIENCE * SECOND), it.TimerFired(n)))
     calls, now = 0, now + SECOND
     for n in range(1000, 1200):
-        g.call_at, g.crowd = 0, 1.0
+        g.pacing.next_at, g.pacing.congestion = 0, 1.0
         (ask,) = of(g.handle(now, arrival(n, customer=n, spread=30)), it.AddToCounter)
         back = g.handle(now, it.CountAnswered(ask.name, it.Outcome.OK, 1e4, 1000))
         assert of(back, it.Refuse)
@@ -326,11 +326,11 @@
 def test_a_customer_of_whom_nothing_is_known_goes_unheard_as_its_plans_customers_fare() -> None:
     g = wide(30)
     for n in range(30):  # of this plan, the last ones asked for were refused
-        g.call_at = 0
+        g.pacing.next_at = 0
         (ask,) = of(g.handle(SECOND, arrival(n, customer=n, spread=30)), it.AddToCounter)
         g.handle(SECOND, it.CountAnswered(ask.name, it.Outcome.OK, 1e4, 1000))
     sent = 0
     for n in range(100, 200):
-        g.call_at = 60 * SECOND
+        g.pacing.next_at = 60 * SECOND
         sent += finish(g, SECOND, g.handle(SECOND, arrival(n, customer=n, spread=30, time_left=50_000)))
     assert 0 < sent < 30
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -182,7 +182,7 @@
     deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
     assert set(deploy) == {"build", "run", "sim", "policy", "node", "packages"}
     assert all((ROOT / name).exists() for name in deploy["node"])
-    assert deploy["policy"] == ["ironledge/brain.py", "ironledge/subsetting.py"]
+    assert deploy["policy"] == ["ironledge/brain.py", "ironledge/subsetting.py", "ironledge/congestion.py"]
     files = subprocess.run(["git", "ls-files"], cwd=ROOT, capture_output=True, text=True, check=True).stdout
     for name in files.split():
         if name.startswith("ironledge/") or name == "requirements.txt":
