--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -11,6 +11,7 @@
 from fleetlab.results import Point, Result, ResultError, read
 from fleetlab.slopes import LEAST_SIZES
 from fleetlab.sweep import ProgramError, Stopped, play
+from fleetlab.worker import WorkerError
 
 STOPPED = 130
 
@@ -71,6 +72,8 @@
         result = play(ALL[name], sizes, repeat, seed, options, path, commit, command, _report)
     except ProgramError as error:
         raise click.BadParameter(str(error), param_hint="--program") from None
+    except (WorkerError, RuntimeError, OSError) as error:
+        raise click.ClickException(f"{error}; {path.name} holds what was played") from None
     except Stopped:
         click.echo(f"stopped: {path.name} holds what was played", err=True)
         sys.exit(STOPPED)
