Add an experiment for classes beside a list, in a real process

Cause: what a process holds for each class of each backend was measured in the module alone, and a program may tell its module of a part of the list only.

Change: a real process with both, by its watch; a play in which it does not take the list fails.

--- a/fleetlab/experiments/tables.py
+++ b/fleetlab/experiments/tables.py
@@ -23,6 +23,17 @@
     return await _module(lab, "classes", size) | await _process(lab, shape)
 
 
+async def listed(lab: Lab, size: int) -> Figures:
+    """Both in one real process: it holds something for each class of each backend."""
+    discovery, port = await lab.discovery(lab.option("backends"), NOWHERE)
+    ingress = await lab.ingress(Shape(lab.option("fleet_size"), classes=size), port, NOWHERE)
+    await proc.rest(ingress.pid, longest=10.0)
+    if (await discovery.ask("told"))["lists"] != 1:
+        raise RuntimeError("the ingress does not take the list")
+    rss, peak = proc.memory(ingress.pid)
+    return {"rss_mb": rss, "peak_mb": peak, "cpu_start_ms": ingress.cpu() * 1e3}
+
+
 async def plans(lab: Lab, size: int) -> Figures:
     shape = Shape(lab.option("fleet_size"), plans=size)
     return await _module(lab, "plans", size) | await _process(lab, shape)
@@ -64,5 +75,12 @@
         "customers", "customers held", "accounts in the module", customers, {"fleet_size": 7100, "spread": 4}
     ),
     Experiment("classes", "classes", "the table of classes (for routes)", classes, SIZES),
+    Experiment(
+        "classes-listed",
+        "classes",
+        "the same with a list, in a real process",
+        listed,
+        SIZES | {"backends": 2000.0},
+    ),
     Experiment("plans", "plans", "the table of plans (for tenants in the settings)", plans, SIZES),
 )
