--- a/ironledge/congestion.py
+++ b/ironledge/congestion.py
@@ -13,8 +13,8 @@
 
 SECOND = 1_000_000
 CALLS_OUT = 64.0  # calls to the counter in its time-out by all gateways: more than a healthy one has waiting
-CALL_GAP = 7_000  # us between two calls of a gateway, at the least, while all are answered promptly: a call with
-# its answer is some 50 bytes, and control is to take 8 KB a second at most
+CALL_GAP = 7_000  # us between two calls of a gateway, at the least, while all are answered promptly: a call
+# with its answer is some 50 bytes, and control is to take 8 KB a second at most
 LONGEST = 32.0  # times the interval of a healthy counter; a trial call a second or so remains
 CALM = 3 * SECOND  # without a call lost: the counter turns nobody away now
 PROMPT = 0.25  # of the counter's time-out: within it, nothing had waited there
