--- a/fleetlab/standins/backend.py
+++ b/fleetlab/standins/backend.py
@@ -25,24 +25,18 @@
         self.most_open = 0
         self.under_way: Tally[str] = Tally()
         self.links: set[Link] = set()
-        self._sweep: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         await self.serve(lambda: Link(self))
-        self._tick()
+        self.every(1.0, self._sweep)
 
     def stop(self) -> None:
-        self.close()
-        if self._sweep:
-            self._sweep.cancel()
-        for link in list(self.links):
-            link.transport.abort()
+        self.end(self.links)
 
-    def _tick(self) -> None:
+    def _sweep(self) -> None:
         oldest = asyncio.get_running_loop().time() - self.idle
         for link in [x for x in self.links if x.idle_since < oldest]:
             link.transport.close()
-        self._sweep = asyncio.get_running_loop().call_later(1.0, self._tick)
 
 
 class Link(Connection):
--- a/fleetlab/standins/counter.py
+++ b/fleetlab/standins/counter.py
@@ -47,18 +47,13 @@
         self.silent = False
         self.adds = self.pings = self.busy = self.reset = self.received = 0  # received: bytes
         self.by_address: Tally[tuple[str, str]] = Tally()
-        self._sweep: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         await self.serve(lambda: Line(self))
-        self._tick()
+        self.every(1.0, self._sweep)
 
     def stop(self) -> None:
-        self.close()
-        if self._sweep:
-            self._sweep.cancel()
-        for caller in list(self.callers):
-            caller.transport.abort()
+        self.end(self.callers)
 
     def call(self, words: list[bytes], now: float) -> tuple[bytes, float]:
         """The answer, and the moment when it is due."""
@@ -80,13 +75,12 @@
         total = part.add(name, amount, min(life, LONGEST_LIFE) / 1000, now)
         return b"ok %.7g\r\n" % total if math.isfinite(total) else b"error\r\n", due
 
-    def _tick(self) -> None:
+    def _sweep(self) -> None:
         now = asyncio.get_running_loop().time()
         for part in self.parts:
             part.sweep(now)
         for caller in [c for c in self.callers if now - c.heard_at > IDLE]:
             caller.transport.close()
-        self._sweep = asyncio.get_running_loop().call_later(1.0, self._tick)
 
 
 class Line(Connection):
--- a/fleetlab/standins/discovery.py
+++ b/fleetlab/standins/discovery.py
@@ -35,18 +35,13 @@
         self._changes: deque[tuple[int, bytes]] = deque(maxlen=KEPT)  # the version, and its line
         self._whole: bytes | None = None  # kept encoded: callers are many, changes few
         self._missed: list[bytes] = []  # lines of the silence
-        self._beat: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         await self.serve(lambda: Caller(self))
-        self._beats()
+        self.every(BEAT, self._beat)
 
     def stop(self) -> None:
-        self.close()
-        if self._beat:
-            self._beat.cancel()
-        for watch in list(self.watches):
-            watch.transport.abort()
+        self.end(self.watches)
 
     def whole(self) -> bytes:
         if self._whole is None:
@@ -113,11 +108,10 @@
         self.told += len(self.watches)
         self.sent += len(data) * len(self.watches)
 
-    def _beats(self) -> None:
+    def _beat(self) -> None:
         if not self.silent:
             self._tell(b"\n")
             self.told -= len(self.watches)
-        self._beat = asyncio.get_running_loop().call_later(BEAT, self._beats)
 
 
 class Caller(Connection):
--- a/fleetlab/standins/sockets.py
+++ b/fleetlab/standins/sockets.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 BACKLOG = 4096
@@ -31,12 +31,23 @@
 
     port: int = 0
     _server: asyncio.Server | None = None
+    _timer: asyncio.TimerHandle | None = None
 
     async def serve(self, made: Callable[[], asyncio.Protocol]) -> None:
         loop, sock = asyncio.get_running_loop(), everywhere_on_loopback()
         self.port = sock.getsockname()[1]
         self._server = await loop.create_server(made, sock=sock, backlog=BACKLOG)
 
-    def close(self) -> None:
+    def every(self, seconds: float, what: Callable[[], None]) -> None:
+        """Now, and then each so many seconds until the end. One such task a stand-in."""
+        what()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self.every, seconds, what)
+
+    def end(self, connections: Iterable[Connection]) -> None:
+        """Listens no more, and resets these."""
         if self._server:
             self._server.close()
+        if self._timer:
+            self._timer.cancel()
+        for connection in list(connections):
+            connection.transport.abort()
