--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -20,15 +20,14 @@
 LEASE_LIFE = 1.0  # s of demand taken ahead: long enough to save calls, short enough not to strand units
 OFFSETS = (1, 3, 7)  # slots looked at: d_0, then doubling; N = 3 retries, a client's usual most; S = the last
 SPARE = 0.6  # part of the bound under which a fleet has room for second copies and paid units beyond a quota
-KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
 WIDE = 12  # gateways a customer: with more, each knows next to nothing of the store but from the counter
 EPOCH = 8  # windows that one name of a fading count lasts: its weights grow by e in each, and stay exact
 HOLD = 0.25  # of what a wide customer's store has left: the most that one gateway takes ahead of it
 PATIENCE = 0.1  # of a class's aim that a request may wait until a call to the counter can be made
 LAST_CALL = 0.6  # the weight of the last call in the part of a customer's calls that brought units ...
 REMEMBERED = 60 * SECOND  # for which a wide customer's part is kept: each gateway sees few of its requests
-LAST = 0.03  # the weight of the last request in the part of them that was heard of at the counter
 PRIOR = 0.1  # ... and of its first one in that of its plan's customers
+LAST = 0.03  # the weight of the last of their requests in the part that the counter was heard for
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
 TARGET = 0.32  # latency, as a share of the aim, at which a backend counts as full: tails run three times that
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
