Count a request's time from its arrival, and ask for each send again as it is written

Change: a message keeps the moment at which its last byte came, net/send_rules.py alone decides whether an attempt may begin, and is asked again in the moment of the write, where the time left is composed, too. The test settings' keyed class gets the window that real settings always give.

--- a/fleetlab/hollow.py
+++ b/fleetlab/hollow.py
@@ -28,6 +28,8 @@
 class Attempt:
     """An exchange that no socket carries."""
 
+    written = True
+
     def __init__(self, ended: Callable[[Answer], None]) -> None:
         self._timer = asyncio.get_running_loop().call_later(WORK, ended, Answer(it.Outcome.OK))
 
@@ -46,7 +48,17 @@
     def settle(self, gone: Iterable[int]) -> None: ...
     def close_idle(self, backend: int) -> None: ...
 
-    def send(self, backend: int, data: bytes, ended: Callable[[Answer], None], *more: Any) -> Attempt:
+    def send(
+        self,
+        backend: int,
+        head: bytes,
+        ended: Callable[[Answer], None],
+        once: bool = False,
+        body: Body | None = None,
+        started: Callable[[Answer], None] | None = None,
+        permit: Callable[[], bytes | None] = lambda: b"",
+    ) -> Attempt:
+        permit()
         return Attempt(ended)
 
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None:
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -32,27 +32,34 @@
 log = logging.getLogger(__name__)
 
 
+Permit = Callable[[], bytes | None]  # the rest of the data, or None if the attempt may not begin any more
+
+
+def always() -> bytes:
+    """A permit that has nothing to add."""
+    return b""
+
+
 class Exchange:
-    """An attempt: waits for its connection, then is written, then answered. Ends once. `data` is the head,
-    and the body if that is whole and short; else `body` is passed on as it comes. `started` is called once
-    with an answer too long to be held; without it, such an answer is an error."""
+    """An attempt: waits for its connection, then is written, then answered. Ends once. `head` is written
+    first, then what `permit` tells in that moment, and then `body` as it comes, if it is not held. `started`
+    is called once with an answer too long to be held; without it, such an answer is an error."""
 
     __slots__ = (
-        "_ended", "at", "body", "data", "dial", "gone", "keeps", "link", "moved_at", "over", "started",
+        "_ended", "at", "body", "dial", "head", "keeps", "link", "moved_at", "over", "permit", "started",
         "written",
     )  # fmt: skip
 
     def __init__(
         self,
-        data: bytes,
+        head: bytes,
         ended: Ended,
         body: Body | None = None,
         started: Started | None = None,
-        gone: Callable[[], bool] = lambda: False,
+        permit: Permit = always,
     ) -> None:
-        """`gone`: whether its client has left; asked when a connection has come up for it."""
-        self.gone = gone
-        self.data, self.body, self.at, self._ended, self.started = data, body, 0, ended, started
+        self.permit = permit
+        self.head, self.body, self.at, self._ended, self.started = head, body, 0, ended, started
         self.keeps = body is not None and body.whole
         self.dial: asyncio.Task[None] | None = None
         self.link: Link | None = None
@@ -107,19 +114,26 @@
         self.transport.set_write_buffer_limits(high=2 * SLICE)
 
     def send(self, exchange: Exchange) -> None:
+        """Asks for leave first, as the attempt may not be allowed to begin any more."""
+        rest = exchange.permit()
+        if rest is None or exchange.over:
+            self.drop()
+            exchange.end(Answer(Outcome.MOOT))
+            return
+        data = exchange.head + rest
         self.exchange, exchange.link = exchange, self
-        self.bodiless = exchange.data.startswith(b"HEAD ")
+        self.bodiless = exchange.head.startswith(b"HEAD ")
         exchange.moved_at = self.pool.now()
         try:
-            sent = self.sock.send(exchange.data)
+            sent = self.sock.send(data)
         except BlockingIOError:
             sent = 0
         except OSError:
             self.drop()
             exchange.lost()
             return
-        if sent < len(exchange.data):  # from here on the last byte may be written at any time
-            self.transport.write(exchange.data[sent:])
+        if sent < len(data):  # from here on the last byte may be written at any time
+            self.transport.write(data[sent:])
         if exchange.body is None:
             exchange.written = True
         else:
@@ -412,16 +426,16 @@
     def send(
         self,
         backend: int,
-        data: bytes,
+        head: bytes,
         ended: Ended,
         once: bool = False,
         body: Body | None = None,
         started: Started | None = None,
-        gone: Callable[[], bool] = lambda: False,
+        permit: Permit = always,
     ) -> Exchange:
         """`once`: it may not run again, so a reset is the end of it. Where kept connections often end at the
         next request, a new one is worth its price then."""
-        exchange, pool = Exchange(data, ended, body, started, gone), self._pools.get(backend)
+        exchange, pool = Exchange(head, ended, body, started, permit), self._pools.get(backend)
         if pool is None or not pool.ready:
             exchange.lost()
             return exchange
@@ -457,9 +471,8 @@
                 self._share.closed()
                 if sock:
                     sock.close()
-            elif exchange.over or exchange.gone():
+            elif exchange.over:
                 link.drop()
-                exchange.end(Answer(Outcome.MOOT))
             else:
                 pool.busy.add(link)
                 link.send(exchange)
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -345,6 +345,7 @@
         self._at = 0  # how far
         self._keep = True
         self._held_up = 0  # when reading stopped for want of room: that time is not the client's
+        self._waited = 0  # bytes that had come when reading went on, and are not read yet
         self._written = self._read = 0  # bytes, and of these the ones that the client's machine has taken
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -387,10 +388,19 @@
 
     def data_received(self, data: bytes) -> None:
         if self not in self._listener.lingering:
+            self.received_at = self._arrival(len(data))
             super().data_received(data)
             if self._begun:
                 self._heard_at = self._listener.now()
 
+    def _arrival(self, size: int) -> int:
+        """When the data that has just been read came to this machine, at the earliest (us): it may have
+        waited while nothing was read."""
+        if self._waited > 0:
+            self._waited -= size
+            return self._held_up
+        return self._listener.now()
+
     def began(self) -> None:
         self._began = self._listener.now()
         if self._listener.idle.pop(self, None) is not None:
@@ -438,6 +448,7 @@
             self._paused = False
             self._heard_at = self._listener.now()
             self._began += self._heard_at - self._held_up
+            self._waited = unread(self.transport)
             self.transport.resume_reading()
 
     def slow(self, now: int) -> bool:
@@ -534,7 +545,7 @@
         if self._current is not None:
             body.grew()
             if body.whole:
-                self._engine.body_came(self._current)
+                self._engine.body_came(self._current, message.completed_at)
             return
         kept = body.came <= BUFFERED or (body.came <= KEPT_WHOLE and not body.room.full)
         if wanted is None or (not body.whole and kept):
@@ -542,7 +553,7 @@
         if left(self.transport):  # while this waited: in the listener's line, or behind another request
             self.transport.abort()
             return
-        wanted.came = now
+        wanted.came = message.completed_at if body.whole else now
         if late:  # its length is known now
             wanted.head = head_of(message, wanted.id)
         elif not body.whole:
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -17,6 +17,8 @@
 from ironledge.net.directory import Directory
 from ironledge.net.http import Body
 from ironledge.net.listing import Entry, Listing
+from ironledge.net.send_rules import FORESEEABLE, NEVER_RAN, Denial, denial
+from ironledge.net.trace import Trace
 from ironledge.subsetting import deal
 
 ANSWER_MARGIN = 10_000  # us before the client's deadline by which its answer is on the way
@@ -47,6 +49,8 @@
 
 
 class Exchange(Protocol):
+    written: bool  # its last byte may have been
+
     def abort(self) -> bool:
         """Gives the attempt up; True if it may have run, False if its last byte was never written."""
 
@@ -76,14 +80,15 @@
     def send(
         self,
         backend: int,
-        data: bytes,
+        head: bytes,
         ended: Callable[[Answer], None],
         once: bool = False,
         body: Body | None = None,
         started: Callable[[Answer], None] | None = None,
-        gone: Callable[[], bool] = ...,
+        permit: Callable[[], bytes | None] = ...,
     ) -> Exchange:
-        """`gone` is asked once more when a connection has come up: whether its client has left meanwhile."""
+        """`permit` is asked in the moment of the write, and tells the rest of the data, which depends on it;
+        None: the attempt may not begin any more, and ends as MOOT."""
 
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
     def close_idle(self, backend: int) -> None: ...
@@ -120,14 +125,14 @@
     spread: int
     first: int
     timeout: int  # us
-    came: int  # the clock when its last byte came; void while the body is still coming
+    came: int  # the clock when its last byte came to this machine; void while the body is still coming
     is_retry: bool
     head: bytes  # what goes on to a backend, but for the time left
     body: Body
 
 
 class Attempt:
-    __slots__ = ("backend", "ended", "exchange", "latency", "number", "sent", "timer", "wait")
+    __slots__ = ("backend", "ended", "exchange", "latency", "number", "outcome", "sent", "timer", "wait")
 
     def __init__(self, number: int, backend: int, sent: int) -> None:
         self.number, self.backend, self.sent, self.ended = number, backend, sent, False
@@ -135,6 +140,14 @@
         self.timer: Timer | None = None
         self.wait = 0  # us for an answer, once the request's last byte is on its way
         self.latency = -1  # us until its answer began, where that is passed on as it comes
+        self.outcome: Outcome | None = None  # once it has ended
+
+    @property
+    def may_have_run(self) -> bool:
+        """Its last byte may have been written, and no outcome has shown that it never ran."""
+        if self.outcome is not None:
+            return self.outcome not in NEVER_RAN
+        return self.exchange is not None and self.exchange.written
 
 
 class Request:
@@ -147,6 +160,16 @@
         self.attempts: list[Attempt] = []
         self.timer: Timer | None = None
 
+    @property
+    def body_coming(self) -> bool:
+        """Its last byte has not come."""
+        return self.whole_at is None
+
+    @property
+    def body_passed_on(self) -> bool:
+        """Some of its body has gone to a backend and is not held any more."""
+        return self.wanted.body.gone > 0
+
 
 class Decider(Protocol):
     def handle(self, now: int, event: it.Event) -> list[it.Action]: ...
@@ -156,9 +179,16 @@
 
 class Engine:
     def __init__(
-        self, gateway: Decider, settings: it.Settings, names: Names, loop: Loop, now: Callable[[], int]
+        self,
+        gateway: Decider,
+        settings: it.Settings,
+        names: Names,
+        loop: Loop,
+        now: Callable[[], int],
+        trace: Trace | None = None,
     ) -> None:
         self.settings, self.names, self.now = settings, names, now
+        self.trace = trace or Trace()
         self.servers: Servers
         self.counter: CounterClient | None = None
         self.open = 0  # requests not yet answered
@@ -187,9 +217,11 @@
         if wanted.id in self._ids:
             return False
         left = wanted.timeout - (now - wanted.came if wanted.body.whole else 0)
-        if self.ending or left <= ANSWER_MARGIN or 0 < self.settings.limits.max_open <= self.open:
+        if unheard := self._refused_unheard(left):
+            self.trace.event("refused", unheard, id=wanted.id, left_us=left)
             client.refuse(0)  # nothing was sent: harmless, and the module never hears of it
             return True
+        self.trace.event("arrived", id=wanted.id, left_us=left, waited_us=now - wanted.came)
         self._next += 1
         request = Request(self._next, wanted, client, now + left)
         self._requests[request.number], self._ids[wanted.id] = request, request.number
@@ -204,11 +236,19 @@
         )  # fmt: skip
         return True
 
-    def body_came(self, id: bytes) -> None:
-        """The last byte of a body that was handed on as it came: from now on its time runs."""
+    def _refused_unheard(self, left: int) -> str:
+        """Why a request is refused before the module hears of it; empty if it is not."""
+        if self.ending:
+            return "process ending"
+        if left <= ANSWER_MARGIN:
+            return "no time left"
+        return "too many open" if 0 < self.settings.limits.max_open <= self.open else ""
+
+    def body_came(self, id: bytes, came: int) -> None:
+        """The last byte of a body that was handed on as it came, at the moment `came` (us)."""
         request, now = self._requests.get(self._ids.get(id, 0)), self.now()
         if request and not request.over and request.whole_at is None:
-            request.deadline = now + request.wanted.timeout
+            request.deadline = came + request.wanted.timeout
             self._run(request, now)
             for attempt in request.attempts:
                 if not attempt.ended:
@@ -230,6 +270,7 @@
                 self._ended(request, attempt, Answer(Outcome.CANCELLED))
 
     def _leave(self, request: Request) -> None:
+        self.trace.event("ended", "client gone", id=request.wanted.id)
         self._close(request)
         for attempt in [a for a in request.attempts if not a.ended]:  # no cancelling: never written
             if attempt.exchange and attempt.exchange.withdraw():
@@ -352,11 +393,13 @@
                 self._send(number, backend, timeout)
             case it.Refuse(number, retry_after):
                 if request := self._open(number):
+                    self.trace.event("ended", "refused", id=request.wanted.id, retry_after_us=retry_after)
                     self._close(request)
                     request.client.refuse(retry_after if self.settings.limits.advises_retry else 0)
                     self._forget(number)  # no event of its own need follow
             case it.Fail(number):
                 if request := self._open(number):
+                    self.trace.event("ended", "failed", id=request.wanted.id)
                     self._close(request)
                     request.client.fail(timed_out=False)
                     self._forget(number)
@@ -399,6 +442,8 @@
 
     def _overdue(self, request: Request) -> None:
         if not request.over:
+            reason = "process ending" if self.ending else "out of time"
+            self.trace.event("ended", reason, id=request.wanted.id)
             self._close(request)
             request.client.fail(timed_out=True)
             self._post(it.ClientGone(request.number))
@@ -411,36 +456,53 @@
         if request is None:
             self._events.append(it.AttemptEnded(number, 0, backend, Outcome.MOOT, 0, True))
             return
-        gone = self._gone(request)
-        wanted, coming = request.wanted, request.whole_at is None
+        self._gone(request)
+        wanted, coming = request.wanted, request.body_coming
         left = (wanted.timeout if coming else request.deadline - now) - LAST_ATTEMPT
-        limits, second = self.settings.limits, request.out > 0 and not self.settings.limits.may_duplicate
-        spent = len(request.attempts) >= limits.max_attempts
         request.attempts.append(attempt)
         request.out += 1
-        second = second or (request.out > 1 and coming)  # one reader at a time
-        second = second or wanted.body.gone > 0  # what was passed on cannot be sent again
-        if gone or spent or second or left <= 0:
+        attempt.wait = min(timeout, left) if timeout else left
+        if self._denied(request, attempt, now):
             self._ended(request, attempt, Answer(Outcome.MOOT))
             return
-        attempt.wait = min(timeout, left) if timeout else left
         if not coming:
             self._wait(request, attempt)
-        data = b"%bRequest-Timeout: %dm\r\n\r\n" % (wanted.head, max(1, attempt.wait // 1000))
         held = wanted.body.whole and not wanted.body.long
-        if held:
-            data += wanted.body.data
-        once = self.settings.classes[wanted.cls].repeat is it.Repeat.UNSAFE
         attempt.exchange = self.servers.send(
             backend,
-            data,
+            wanted.head,
             lambda answer: self._ended(request, attempt, answer),
-            once,
+            self.settings.classes[wanted.cls].repeat is it.Repeat.UNSAFE,
             None if held else wanted.body,
             lambda answer: self._started(request, attempt, answer),
-            lambda: self._gone(request),
+            lambda: self._permitted(request, attempt),
         )
 
+    def _permitted(self, request: Request, attempt: Attempt) -> bytes | None:
+        """What is written behind the head: the time that the backend has from now on, and a body that is
+        held. None if the attempt may not begin any more."""
+        now, body = self.now(), request.wanted.body
+        self._gone(request)
+        if self._denied(request, attempt, now):
+            return None
+        left = attempt.wait - (0 if request.body_coming else now - attempt.sent)
+        number, backend = attempt.number, attempt.backend
+        self.trace.event("attempt", "begun", id=request.wanted.id, n=number, backend=backend, told_us=left)
+        held = bytes(body.data) if body.whole and not body.long else b""
+        return b"Request-Timeout: %dm\r\n\r\n%b" % (max(1, left // 1000), held)
+
+    def _denied(self, request: Request, attempt: Attempt, now: int) -> bool:
+        until = now + attempt.wait if request.body_coming else attempt.sent + attempt.wait
+        cls, limits = self.settings.classes[request.wanted.cls], self.settings.limits
+        reason = denial(request, attempt, cls, limits, now, until)
+        if reason is Denial.REQUEST_OVER and request.client.gone():
+            reason = Denial.CLIENT_GONE
+        if reason in FORESEEABLE:
+            self.trace.violation(f"attempt: {reason.value}", id=request.wanted.id, n=attempt.number)
+        if reason:
+            self.trace.event("denied", reason.value, id=request.wanted.id, n=attempt.number)
+        return reason is not None
+
     def _wait(self, request: Request, attempt: Attempt) -> None:
         attempt.timer = self._loop.call_later(attempt.wait / 1e6, self._timed_out, request, attempt)
 
@@ -458,6 +520,7 @@
             self._ended(request, attempt, Answer(Outcome.CANCELLED))
             return
         attempt.latency = self._latency(request, attempt)
+        self.trace.event("ended", "served", id=request.wanted.id)
         self._close(request)
         self._post(it.StreamStarted(request.number, attempt.number, attempt.backend, attempt.latency))
         request.client.stream(answer)
@@ -478,11 +541,13 @@
     def _ended(self, request: Request, attempt: Attempt, answer: Answer) -> None:
         if attempt.ended:
             return
-        attempt.ended, attempt.exchange = True, None
+        attempt.ended, attempt.exchange, attempt.outcome = True, None, answer.outcome
         request.out -= 1
+        self.trace.event("attempt", answer.outcome.value, id=request.wanted.id, n=attempt.number)
         if attempt.timer:
             attempt.timer.cancel()
         if answer.outcome is Outcome.OK and not request.over and attempt.latency < 0:
+            self.trace.event("ended", "served", id=request.wanted.id)
             self._close(request)
             request.client.serve(answer)
         load = self.names.load(answer.load) if answer.load else ()
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -111,9 +111,10 @@
 class Message:
     """A request (method, target) or an answer (status); its head is whole, its body may still be coming."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "old", "status", "target")
+    __slots__ = ("body", "completed_at", "headers", "keep_alive", "method", "old", "status", "target")
 
     def __init__(self, room: Room) -> None:
+        self.completed_at = 0  # us: when its last byte came to this machine; 0 until then
         self.method = b""
         self.target = b""
         self.status = 0
@@ -144,6 +145,7 @@
         self._lost_framing = False
         self._switching = self._silent = False  # see `_go_on`
         self.bodiless = False  # an answer that is awaited has a head alone, whatever it says
+        self.received_at = 0  # us: when the data that is being parsed came; for the side that needs it to set
 
     # For the two sides to fill in.
 
@@ -288,6 +290,7 @@
     def _complete(self) -> None:
         self._in_head, self._fed, self._begun = True, 0, False
         self._message.body.whole = True
+        self._message.completed_at = self.received_at
         self._touch()
 
     def _refuse(self, status: int, why: str) -> None:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -21,7 +21,8 @@
     "services": [
         {"name": "read", "on_time": 2_000_000, "deadline": 4_000_000, "semantics": "retryable"},
         {"name": "order", "on_time": 2_000_000, "deadline": 4_000_000, "semantics": "fragile"},
-        {"name": "save", "on_time": 2_000_000, "deadline": 4_000_000, "semantics": "dedup"},
+        {"name": "save", "on_time": 2_000_000, "deadline": 4_000_000, "semantics": "dedup",
+         "memory_span": 5_000_000},
     ],
     "contracts": [{"name": "gold", "quota_rate": 5.0, "burst": 10.0}],
     "ceilings": {"max_attempts": 2, "cancel": True, "connect_timeout": 250_000, "retry_after": True,
--- a/tests/test_net_arrival.py
+++ b/tests/test_net_arrival.py
@@ -8,6 +8,7 @@
 
 import pytest_asyncio
 
+from ironledge import interface as it
 from tests.net_helpers import HOST, OK, Ingress, PeerServer, Script, request, send_first
 from tests.test_net_clients import listing
 
@@ -69,13 +70,10 @@
     await asyncio.sleep(0.8)
     for peer in backend.peers:
         peer.transport.write(OK)
-    answered = 1
-    while answered < 10:  # one after another, on whichever connection it comes
-        await backend.until(lambda: sum(p.data.count(b"Request-Id") for p in backend.peers) > answered)
-        answered += 1
-        next(p for p in backend.peers if p.data.endswith(b"\r\n\r\n") and b"r%d\r" % (answered - 1) in p.data)
-        for peer in [p for p in backend.peers if b"Request-Id: r%d\r" % (answered - 1) in p.data]:
-            peer.transport.write(OK)
+    for number in range(1, 10):  # one after another, on whichever connection it comes
+        wanted = b"Request-Id: r%d\r" % number
+        await backend.until(lambda wanted=wanted: any(wanted in p.data for p in backend.peers))
+        next(p for p in backend.peers if wanted in p.data).transport.write(OK)
     assert await told(backend, "late") <= TIMEOUT - (time.monotonic() - sent) + SLACK
     writer.close()
 
@@ -91,3 +89,18 @@
     ingress.listener._resume()
     assert await told(backend, "r0") <= TIMEOUT - (time.monotonic() - sent) + SLACK
     writer.close()
+
+
+async def test_a_request_whose_time_is_over_when_its_turn_comes_is_not_sent_on(
+    ingress: Ingress, backend: PeerServer
+) -> None:
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    writer.write(request("r0", timeout="2000m") + request("r1", timeout="300m"))
+    await backend.until(lambda: any(b"r0" in peer.data for peer in backend.peers))
+    await asyncio.sleep(0.5)
+    backend.peers[0].transport.write(OK)
+    async with asyncio.timeout(5):
+        await reader.readuntil(b"warm")
+        assert (await reader.readuntil(b"\r\n")).split()[1] in (b"429", b"504")
+    assert len(ingress.script.of(it.RequestArrived)) == 1
+    writer.close()
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -28,6 +28,8 @@
 class Exchange:
     def __init__(self, data: bytes, ended: Callable[[Answer], None]) -> None:
         self.data, self.ended, self.aborted, self.ran = data, ended, False, True
+        self.written = True
+        self.started: Callable[[Answer], None] = lambda answer: None
 
     def abort(self) -> bool:
         self.aborted = True
@@ -70,9 +72,17 @@
             exchange.ended(Answer(Outcome.CONNECT_FAILED))
 
     def send(
-        self, backend: int, data: bytes, ended: Callable[[Answer], None], once: bool = False, *more: Any
+        self,
+        backend: int,
+        head: bytes,
+        ended: Callable[[Answer], None],
+        once: bool,
+        body: Body | None,
+        started: Callable[[Answer], None],
+        permit: Callable[[], bytes | None],
     ) -> Exchange:
-        self.sent.append(Exchange(data, ended))
+        self.sent.append(Exchange(head + (permit() or b""), ended))
+        self.sent[-1].started = started
         return self.sent[-1]
 
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
--- a/tests/test_net_gone.py
+++ b/tests/test_net_gone.py
@@ -142,7 +142,7 @@
 ) -> None:
     """Also where its request is over for another reason than its client: else it would be out for ever."""
     ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-    exchange = ingress.backends.send(1, request("r0"), ended.set_result, gone=lambda: True)
+    exchange = ingress.backends.send(1, request("r0"), ended.set_result, permit=lambda: None)
     async with asyncio.timeout(10):
         assert (await ended).outcome is Outcome.MOOT
     await backend.until(lambda: len(backend.closed) == 1)
--- /dev/null
+++ b/tests/test_net_send_rules.py
@@ -0,0 +1,175 @@
+"""Whether an attempt may begin, asked in the moment of its write, and what one that may not leaves behind."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+import pytest
+import pytest_asyncio
+
+from ironledge import interface as it
+from ironledge.interface import Outcome, Repeat
+from ironledge.net.backends import Backends, Exchange, Pool
+from ironledge.net.engine import Answer, Attempt, Request, Wanted
+from ironledge.net.http import Body, Room
+from ironledge.net.send_rules import HELD_UP, Denial, denial
+from ironledge.net.sockets import Share
+from tests.net_helpers import OK, SETTINGS, Ingress, Peer, PeerServer, Script, entry, request, send_first
+from tests.test_net_clients import listing
+from tests.test_net_engine import World
+
+NOW = 50_000_000
+UNTIL = NOW + 1_000_000
+CLASS = SETTINGS.classes[2]
+SLACK = 0.15  # s that a backend may be told beyond what the client has left
+
+
+@pytest_asyncio.fixture
+async def backend() -> AsyncIterator[PeerServer]:
+    server = await PeerServer().start()
+    yield server
+    server.stop()
+
+
+@pytest_asyncio.fixture
+async def ingress(backend: PeerServer) -> AsyncIterator[Ingress]:
+    ingress = Ingress(Script(send_first))
+    await ingress.start()
+    ingress.engine.listed(listing(backend.port))
+    yield ingress
+    ingress.stop()
+
+
+def connects_after(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
+    """Connections to backends come up that much later."""
+    connect = Backends._connect
+
+    async def late(self: Backends, pool: Pool, exchange: Exchange) -> None:
+        await asyncio.sleep(seconds)
+        await connect(self, pool, exchange)
+
+    monkeypatch.setattr(Backends, "_connect", late)
+
+
+def told(peer: Peer) -> float:
+    return int(peer.data.partition(b"Request-Timeout: ")[2].partition(b"m")[0]) / 1000
+
+
+@pytest.mark.parametrize("timeout", [2.0, 0.9])
+async def test_a_backend_whose_connection_comes_up_late_is_told_what_is_left(
+    ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch, timeout: float
+) -> None:
+    connects_after(monkeypatch, 0.6)
+    asked = asyncio.create_task(ingress.ask(request("r0", timeout=f"{timeout * 1000:.0f}m")))
+    sent = time.monotonic()
+    await backend.until(lambda: any(b"\r\n\r\n" in peer.data for peer in backend.peers))
+    assert 0 < told(backend.peers[0]) <= timeout - (time.monotonic() - sent) + SLACK
+    backend.peers[0].transport.write(OK)
+    assert b" 200 " in await asked
+
+
+async def test_a_keyed_repeat_is_not_written_once_its_window_is_over(
+    ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was decided within the window, and its connection came up after it."""
+    window = 600_000
+    classes = tuple(replace(c, memory=window) if c.name == "save" else c for c in SETTINGS.classes)
+    ingress.engine.settings = replace(SETTINGS, classes=classes)
+
+    def repeats(event: it.Event) -> list[it.Action]:
+        again = isinstance(event, it.AttemptEnded) and event.outcome is Outcome.RESET
+        return [it.SendAttempt(1, 1, 0)] if again else send_first(event)
+
+    ingress.script.rule = repeats
+    asked = asyncio.create_task(ingress.ask(request("r0", "save", Idempotency_Key="k")))
+    await backend.until(lambda: any(b"r0" in peer.data for peer in backend.peers))
+    connects_after(monkeypatch, 0.7)
+    backend.peers[0].transport.abort()  # it may have run
+    assert b" 502 " in await asked
+    assert sum(b"r0" in peer.data for peer in backend.peers) == 1
+    assert [e.outcome for e in ingress.script.of(it.AttemptEnded)] == [Outcome.RESET, Outcome.MOOT]
+
+
+async def test_a_connect_that_is_withdrawn_before_it_has_begun_leaves_nothing_behind(
+    backend: PeerServer,
+) -> None:
+    """Both in one turn of the loop: its task was cancelled unstarted, and never gave its place back."""
+    share, ended = Share(10), list[Outcome]()
+    backends = Backends(share, 10_000_000, 250_000)
+    backends.know(entry("s-1", backend.port), 1)
+    backends.send(1, b"GET / HTTP/1.1\r\n\r\n", lambda answer: ended.append(answer.outcome))
+    backends.know(entry("s-1", backend.port, "draining"), 1)
+    backends.settle(())
+    backends.know(entry("s-1", backend.port), 1)
+    given_up = backends.send(1, b"GET / HTTP/1.1\r\n\r\n", lambda answer: None)
+    given_up.abort()
+    await asyncio.sleep(0.05)
+    assert ended == [Outcome.CONNECT_FAILED] and share.open == 0 and not backends._pools[1].dials
+    backends.stop()
+
+
+def test_a_long_answer_that_nobody_wants_any_more_is_not_held() -> None:
+    """Its request is over as it begins: what had come of it stayed counted as held for good."""
+    rule: list[it.Action] = [it.SendAttempt(1, 1, 0), it.Fail(1)]  # and the attempt goes on
+    world = World(Script(lambda event: rule if isinstance(event, it.RequestArrived) else []))
+    assert world.ask()
+    room = Room()
+    body = Body(room)
+    body.length = 300_000
+    body.add(b"x" * 60_000)
+    world.sent[0].started(Answer(Outcome.OK, stream=body))
+    body.add(b"x" * 60_000)  # read before the connection has ended
+    assert world.answers == ["failed"] and world.sent[0].aborted and room.held == 0
+
+
+# The rules themselves.
+
+
+def made(*attempts: Attempt, over: bool = False) -> tuple[Request, Attempt]:
+    """A request with these attempts, and one more that wants to begin."""
+    body = Body(Room())
+    body.whole = True
+    wanted = Wanted(b"a", 0, 0, 7, 1.0, 1, 0, 1_000_000, NOW, False, b"", body)
+    asked = Request(1, wanted, World(Script()), UNTIL)
+    asked.whole_at, asked.over = NOW, over
+    asked.attempts = [*attempts, Attempt(len(attempts), 1, NOW)]
+    return asked, asked.attempts[-1]
+
+
+def ended(outcome: Outcome, ago: int = 100_000) -> Attempt:
+    attempt = Attempt(0, 1, NOW - ago)
+    attempt.ended, attempt.outcome = True, outcome
+    return attempt
+
+
+@pytest.mark.parametrize("repeat", Repeat)
+@pytest.mark.parametrize("outcome", Outcome)
+def test_a_repeat_is_allowed_by_what_became_of_the_attempts_before(repeat: Repeat, outcome: Outcome) -> None:
+    never_ran = outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+    cls = replace(CLASS, repeat=repeat, memory=1_000_000)
+    found = denial(*made(ended(outcome)), cls, SETTINGS.limits, NOW, UNTIL)
+    assert found is (None if never_ran or repeat is not Repeat.UNSAFE else Denial.MAY_HAVE_RUN)
+
+
+def test_the_window_of_a_keyed_repeat_ends_before_the_process_may_be_held_up_beyond_it() -> None:
+    cls = replace(CLASS, repeat=Repeat.KEYED, memory=1_000_000)
+    for ago, found in ((999_999 - HELD_UP, None), (1_000_000 - HELD_UP, Denial.WINDOW_OVER)):
+        asked = made(ended(Outcome.RESET, ago), ended(Outcome.FULL, 10))
+        assert denial(*asked, cls, replace(SETTINGS.limits, max_attempts=3), NOW, UNTIL) is found
+
+
+def test_the_other_rules() -> None:
+    limits = replace(SETTINGS.limits, max_attempts=2, may_duplicate=False)
+    out = Attempt(0, 1, NOW)
+    assert denial(*made(over=True), CLASS, limits, NOW, UNTIL) is Denial.REQUEST_OVER
+    assert denial(*made(), CLASS, limits, UNTIL, UNTIL) is Denial.OUT_OF_TIME
+    assert denial(*made(out), CLASS, limits, NOW, UNTIL) is Denial.SECOND_COPY
+    assert denial(*made(out), CLASS, replace(limits, may_duplicate=True), NOW, UNTIL) is None
+    failed = ended(Outcome.FULL)
+    assert denial(*made(failed, failed), CLASS, limits, NOW, UNTIL) is Denial.TOO_MANY_ATTEMPTS
+    asked, attempt = made()
+    asked.wanted.body.gone = 1
+    assert denial(asked, attempt, CLASS, limits, NOW, UNTIL) is Denial.BODY_PASSED_ON
--- a/tests/test_net_stream.py
+++ b/tests/test_net_stream.py
@@ -302,7 +302,7 @@
     world.pass_time(30_000_000)  # a slow client: neither its deadline nor the attempt's runs
     assert not world.answers and not world.sent[0].aborted
     body.whole = True
-    world.engine.body_came(b"a")
+    world.engine.body_came(b"a", world.time)
     world.pass_time(299_000)
     assert not world.sent[0].aborted
     world.pass_time(2_000)
