Give back the place of a connect that is withdrawn before its task has begun

It takes a send and a drain, ban or client's end in one turn of the loop, as after a stall. Each one cost a place until the process ended.

Change: the task's done callback, which always runs, gives back what the coroutine has not. Places left behind in the test: 2 -> 0.

--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -446,6 +446,7 @@
             self._share.open += 1
             pool.dials.add(exchange)
             exchange.dial = self._loop.create_task(self._connect(pool, exchange))
+            exchange.dial.add_done_callback(lambda task: self._dialled(pool, exchange))
         else:
             exchange.lost()
         return exchange
@@ -477,6 +478,13 @@
                 pool.busy.add(link)
                 link.send(exchange)
 
+    def _dialled(self, pool: Pool, exchange: Exchange) -> None:
+        """A task that is cancelled before its first step never runs, what cleans up behind it included."""
+        if exchange in pool.dials:
+            pool.dials.discard(exchange)
+            exchange.dial = None
+            self._share.closed()
+
     def probe(self, backend: int, ended: Ended) -> None:
         exchange = self.send(backend, b"GET /metrics/load HTTP/1.1\r\nHost: app.svc\r\n\r\n", ended)
 
