Release a long answer that begins once its request is over

Up to 64 KiB counted as held until the process ended, and past the room's bound every stream waits for its reader.

Change: who finds that nobody reads releases it.

--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -515,6 +515,8 @@
         if attempt.timer:
             attempt.timer.cancel()
         if request.over or attempt.ended:
+            if answer.stream:
+                answer.stream.release()  # there is nobody to pass it on
             if attempt.exchange:
                 attempt.exchange.abort()
             self._ended(request, attempt, Answer(Outcome.CANCELLED))
