--- /dev/null
+++ b/tests/test_net_system_calls.py
@@ -0,0 +1,152 @@
+"""A real process whose system calls fail now and then in the ways that Linux documents: nothing is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import signal
+import subprocess
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+
+from fleetlab.faults import SHORT, Call, Faults, build
+from tests.net_helpers import HOST, OK, PeerServer, answers, request
+from tests.test_net_main import ask, config, listens, start
+
+ASKED = 60
+NAMES = 8  # of the backend: with fewer, a few requests at once would be refused as too many
+CONNECTION_FAILED = [errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.EHOSTUNREACH, errno.EPERM]
+
+
+@pytest.fixture(scope="module")
+def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    return build(tmp_path_factory.mktemp("faults"))
+
+
+@pytest.fixture
+def faults(library: Path, tmp_path: Path) -> Iterator[Faults]:
+    made = Faults(library, tmp_path / "faults")
+    yield made
+    made.close()
+
+
+@pytest_asyncio.fixture
+async def backend() -> AsyncIterator[PeerServer]:
+    server = await PeerServer(answers(OK)).start()
+    yield server
+    server.stop()
+
+
+class Process:
+    """A real ingress in front of a backend that goes by several names."""
+
+    def __init__(self, tmp_path: Path, faults: Faults, backend: PeerServer) -> None:
+        listed = [
+            {"name": f"s-{n}", "address": f"{HOST}:{backend.port}", "status": "up"} for n in range(NAMES)
+        ]
+        known = {"index": 1, "snapshot": True, "endpoints": listed}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config(known=known)))
+        self.ran: subprocess.Popen[str] = start(path, **faults.environment())
+
+    async def __aenter__(self) -> Process:
+        self.port = await asyncio.to_thread(listens, self.ran)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        if self.ran.poll() is None:
+            self.ran.kill()
+        await asyncio.to_thread(self.ran.communicate)
+
+    async def served(self, count: int, first: int = 0) -> list[bytes]:
+        """What becomes of so many requests, each on a connection of its own and of another customer."""
+        asked = []
+        for number in range(first, first + count):
+            asked.append(asyncio.create_task(self._status(number)))
+            await asyncio.sleep(0.002)
+        return list(await asyncio.gather(*asked))
+
+    async def _status(self, number: int) -> bytes:
+        try:
+            answer = await ask(self.port, request(f"r{number}", Cookie=f"customer={number:016x}"))
+        except (OSError, EOFError) as error:
+            return repr(error).encode()
+        return answer.split(b" ")[1]
+
+    async def ended(self) -> tuple[int, str]:
+        _, errors = await asyncio.to_thread(self.ran.communicate, timeout=30)
+        return self.ran.returncode, errors
+
+
+@pytest.mark.parametrize("error", CONNECTION_FAILED + [errno.ENFILE], ids=errno.errorcode.get)
+async def test_accept_that_fails_loses_no_request_that_waits(
+    tmp_path: Path, faults: Faults, backend: PeerServer, error: int
+) -> None:
+    async with Process(tmp_path, faults, backend) as process:
+        faults.set(Call.ACCEPT, error, 7)
+        assert set(await process.served(ASKED)) == {b"200"}
+        assert faults.failed(Call.ACCEPT) > 0
+
+
+@pytest.mark.parametrize("error", [errno.ECONNABORTED], ids=errno.errorcode.get)
+async def test_accept_that_fails_at_the_end_loses_nothing_and_the_end_is_in_order(
+    tmp_path: Path, faults: Faults, backend: PeerServer, error: int
+) -> None:
+    async with Process(tmp_path, faults, backend) as process:
+        assert set(await process.served(5)) == {b"200"}
+        faults.set(Call.ACCEPT, error, 3)
+        process.ran.send_signal(signal.SIGTERM)
+        assert set(await process.served(ASKED, first=100)) == {b"200"}
+        code, errors = await process.ended()
+        assert code == 0 and "Traceback" not in errors and faults.failed(Call.ACCEPT) > 0
+
+
+@pytest.mark.parametrize(
+    ("call", "error", "every"),
+    [
+        (Call.CONNECT, errno.EADDRNOTAVAIL, 5),
+        (Call.CONNECT, errno.ENETUNREACH, 5),
+        (Call.CONNECT, errno.EINTR, 5),
+        (Call.SOCKET, errno.ENFILE, 5),
+        (Call.SOCKET, errno.ENOBUFS, 5),
+        (Call.WAIT, errno.EINTR, 3),
+        (Call.READ, SHORT, 3),
+        (Call.WRITE, SHORT, 3),
+        (Call.READ, errno.EINTR, 3),
+        (Call.WRITE, errno.EINTR, 3),
+        (Call.READ, errno.EAGAIN, 5),
+        (Call.WRITE, errno.EAGAIN, 5),
+    ],
+)
+async def test_other_calls_that_fail_for_a_moment_lose_no_request(
+    tmp_path: Path, faults: Faults, backend: PeerServer, call: Call, error: int, every: int
+) -> None:
+    """A safe request is sent again where an attempt fails, so that all are served."""
+    async with Process(tmp_path, faults, backend) as process:
+        faults.set(call, error, every)
+        statuses = await process.served(ASKED)
+        assert faults.failed(call) > 0
+        assert set(statuses) == {b"200"}
+        faults.clear()
+        process.ran.send_signal(signal.SIGTERM)
+        code, errors = await process.ended()
+        assert code == 0 and "Traceback" not in errors
+
+
+@pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET, errno.EPIPE])
+async def test_a_broken_connection_ends_with_its_own_request_alone(
+    tmp_path: Path, faults: Faults, backend: PeerServer, error: int
+) -> None:
+    """Some reads of clients' sockets fail, too: that client has gone. All others are served, and none is
+    answered twice or with another's answer."""
+    async with Process(tmp_path, faults, backend) as process:
+        faults.set(Call.READ, error, 11)
+        statuses = await process.served(ASKED)
+        failed = faults.failed(Call.READ)
+        assert failed > 0 and sum(status != b"200" for status in statuses) <= failed
+        faults.clear()
+        assert set(await process.served(10, first=500)) == {b"200"}
