Answer what has come behind a request before its connection ends

Change: an answer is the last one only where nothing has come behind it; where the client itself announced the end, what still comes is read off before the close.

--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -541,10 +541,16 @@
         """Requests that came whole and have no answer."""
         return (self._current is not None and self._whole) + sum(m.body.whole for m in self._waiting)
 
+    def _more_has_come(self) -> bool:
+        """Behind the request in hand: parsed, about to be handed on, or unread in the socket."""
+        if self._waiting or self._more:
+            return True
+        return not self.transport.is_closing() and unread(self.transport) > 0
+
     def _next(self) -> None:
         self._taken = message = self._waiting.popleft()
         self._wanted = None
-        self._keep = message.keep_alive and not self._crowded
+        self._keep = message.keep_alive and (not self._crowded or self._more_has_come())
         for held in (self._listener.begun, self._listener.idle):
             held.pop(self, None)
         if message.target.partition(b"?")[0] == b"/up":
@@ -557,7 +563,7 @@
         try:
             self._wanted = self._listener.form.read(message)
         except BadRequest as error:
-            self._keep = False  # what else it sends is not worth reading
+            self._keep = self._keep and self._more_has_come()  # what has come already is answered, too
             self._write(error.status, b"", str(error).encode() + b"\n")
             return
         self._listener.new.pop(self, None)
@@ -650,9 +656,11 @@
         self._write(504 if timed_out else 502, b"", b"failed\n")
 
     def _keeps(self) -> bool:
-        leaving = self._listener.leaving and not self._waiting  # what has come behind it is answered first
-        ended = self._lost_framing and not self._waiting
-        return self._keep and not leaving and not ended and self._whole
+        if not (self._keep and self._whole):
+            return False
+        if self._lost_framing and not self._waiting:
+            return False
+        return not self._listener.leaving or self._more_has_come()  # which is answered first
 
     def _send(self, data: bytes) -> None:
         self._written += len(data)
@@ -692,7 +700,7 @@
             self._ease()
             return
         sending = not self._whole or self._lost_framing or self._begun
-        if sending and not self.transport.is_closing():
+        if not self.transport.is_closing() and (sending or unread(self.transport)):
             # Closing now would reset what the client may not have read yet, as it is still sending.
             self._closing(CloseReason.LAST_ANSWER)
             self._let_go()
--- a/tests/test_net_last_answers.py
+++ b/tests/test_net_last_answers.py
@@ -58,6 +58,13 @@
     writer.close()
 
 
+async def test_a_sound_request_behind_an_unsound_one_is_answered(ingress: Ingress) -> None:
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    writer.write(request("r0", X_Plan="tin") + request("r1"))
+    assert await statuses(reader, 2) == [b"400", b"200"]
+    writer.close()
+
+
 async def test_a_request_unread_in_the_moment_of_the_last_answer_is_answered(
     ingress: Ingress, backend: PeerServer
 ) -> None:
