Take a backend's start from when it was told and from the order of starts, not a wall clock

Change: net/start_times.py takes the lower of two ages, by the wall clock and by the order of the starts told, from the telling on. A fresh process treats the backend that started last as cold for one ramp; what lies more than two hours back is long ago. Operators' put-backs are moments of the process's own clock and are never compared with the fleet's.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -222,6 +222,7 @@
         self.backends = Backends(sockets.backends, config.conn_idle, wait, room, size)
         self.engine.servers = self.backends
         self.maintenance = Maintenance(clock.now, self.engine.listed, self.engine.directory)
+        self.engine.put_back_at = self.maintenance.put_back_at
         self.listener = Listener(self.engine, sockets, clock.now, room)
         self.sources: Sources | None = None
         self.admin = Admin(self, self._callers)
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -18,6 +18,7 @@
 from ironledge.net.http import Body
 from ironledge.net.listing import Entry, Listing
 from ironledge.net.send_rules import FORESEEABLE, NEVER_RAN, Denial, denial
+from ironledge.net.start_times import StartTimes
 from ironledge.net.trace import Trace
 from ironledge.subsetting import deal
 
@@ -200,6 +201,8 @@
         self._past: deque[tuple[int, bytes]] = deque()  # ids that have ended of late: still not new
         self._longest = max(c.deadline for c in settings.classes)
         self.directory = Directory()
+        self.put_back_at: Callable[[str], int] = lambda name: 0  # us, by operators; 0: it has not been
+        self._starts = StartTimes()
         self._subset = deal(settings.me, settings.fleet_size, 0)  # what of it is told to the module
         self._backends: dict[str, int] = {}  # those told, by name; a number is never used again
         self._numbers = 0
@@ -293,17 +296,22 @@
         changed: Iterable[str] = listing.packed
         if listing.whole:
             changed = [*self.directory, *(n for n in self._backends if n not in self.directory)]
-        found: list[it.ListedBackend] = []
+        found: list[tuple[Entry, int]] = []
         gone: list[int] = []
         for name in changed:
             self._tell(name, found, gone)
         if self._subset != before and not listing.whole:  # dealt anew: some come in by it, and some leave
             for name in [n for n in self.directory if self._holds(n) != (n in self._backends)]:
                 self._tell(name, found, gone)
+        now = self.now()
+        for entry, _ in found:
+            if entry.since_us != self.put_back_at(entry.name):
+                self._starts.observe(entry.since_us, now)
+        listed = [self._listed_backend(entry, number, now) for entry, number in found]
         if not listing.whole:
-            found += [it.ListedBackend(n, it.BackendState.GONE, 0, 0, 0, 1.0, 0) for n in gone]
+            listed += [it.ListedBackend(n, it.BackendState.GONE, 0, 0, 0, 1.0, 0) for n in gone]
         ready = self.directory.up if self._subset.held > 1 else 0
-        self._events.append(it.BackendsListed(kind, listing.index, tuple(found), ready))
+        self._events.append(it.BackendsListed(kind, listing.index, tuple(listed), ready))
         self.servers.settle(gone)
         self._drain()
 
@@ -313,18 +321,19 @@
             return False
         return self._subset.held == 1 or name in self._backends or self.directory.is_up(name)
 
-    def _tell(self, name: str, found: list[it.ListedBackend], gone: list[int]) -> None:
+    def _tell(self, name: str, found: list[tuple[Entry, int]], gone: list[int]) -> None:
         if self._holds(name):
             if name not in self._backends:
                 self._numbers += 1
                 self._backends[name] = self._numbers
             entry, number = self.directory[name], self._backends[name]
-            found.append(self._entry(entry, number))
+            found.append((entry, number))
             self.servers.know(entry, number)
             (self._up.add if entry.status == "up" else self._up.discard)(name)
         elif number := self._backends.pop(name, 0):
             gone.append(number)
             self._up.discard(name)
+            self._starts.forget(name)
 
     def hand_over(self) -> dict[str, Any]:
         """What the module has learned, for another process: backends by name, as each numbers its own."""
@@ -584,12 +593,14 @@
 
         self.servers.probe(backend, ended)
 
-    def _entry(self, entry: Entry, number: int) -> it.ListedBackend:
+    def _listed_backend(self, entry: Entry, number: int, now: int) -> it.ListedBackend:
         zone, kind = self.names.zones.get(entry.zone, 0), self.names.kinds.get(entry.kind, 0)
+        started = entry.since_us  # of this process's clock already, where operators put it back
+        if started != self.put_back_at(entry.name):
+            started = self._starts.local(entry.name, entry.since_us, now)
         return it.ListedBackend(
-            number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us,
-            _mark(entry.name),
-        )  # fmt: skip
+            number, STATES[entry.status], zone, entry.group, kind, entry.weight, started, _mark(entry.name)
+        )
 
 
 class Names:
--- a/ironledge/net/maintenance.py
+++ b/ironledge/net/maintenance.py
@@ -24,6 +24,7 @@
         """`directory`: the table into which `tell` takes what it is told; without one, it is kept here."""
         self.out: set[str] = set()
         self.back: dict[str, int] = {}  # when it was put back: it was restarted meanwhile, so it is cold
+        self._since: dict[str, int] = {}  # the start that discovery told of these then; a later one counts
         self.index = 0
         self._now, self._tell, self._keeps = now, tell, directory is None
         self._directory = Directory() if directory is None else directory
@@ -88,6 +89,10 @@
         self.out, self.back = out, back
         return listing
 
+    def put_back_at(self, name: str) -> int:
+        """The moment in us of this process's clock, if that is what counts as its start; else 0."""
+        return self.back.get(name, 0)
+
     def noted(self, name: str, out: bool) -> None:
         """A call at another process of the same ingress: it has answered it, and both follow it."""
         self._remember(name)
@@ -111,6 +116,7 @@
         if name in self.out:
             self.out.discard(name)
             self.back[name] = self._now()
+            self._since.pop(name, None)
             self._changed(name)
             self._remember(name)
         return True
@@ -135,7 +141,12 @@
         self._tell(listing, kind)
 
     def _laid_over(self, entry: Entry) -> Entry:
+        """Moments of two clocks are never compared: what operators did counts until another start is told."""
         if entry.status == "up" and entry.name in self.out:
             return entry.but(status="draining")
-        since = self.back.get(entry.name, 0)
-        return entry.but(since_us=since) if since > entry.since_us else entry
+        if entry.name not in self.back:
+            return entry
+        if self._since.setdefault(entry.name, entry.since_us) != entry.since_us:
+            del self.back[entry.name], self._since[entry.name]
+            return entry
+        return entry.but(since_us=self.back[entry.name])
--- a/tests/test_net_start_times.py
+++ b/tests/test_net_start_times.py
@@ -10,9 +10,99 @@
 import pytest
 
 from fleetlab.faults import Faults, build
-from tests.net_helpers import HOST, OK, Peer, PeerServer, request
+from ironledge import interface as it
+from ironledge.net.engine import Engine, Names
+from ironledge.net.listing import Listing
+from ironledge.net.maintenance import Maintenance
+from ironledge.net.start_times import GREATEST_STEP, LONG_AGO, StartTimes
+from tests.net_helpers import HOST, OK, RAW, SETTINGS, Peer, PeerServer, Script, request
 from tests.test_net_main import ask, config, listens, start
 
+SECOND = 1_000_000
+NOW = 1_800_000_000 * SECOND  # the fleet's clock
+HOUR = 3600 * SECOND
+OFF = [0, 3 * SECOND, HOUR, -3 * SECOND, -HOUR]
+
+
+def age(starts: StartTimes, name: str, told: int, now: int) -> int:
+    return now - starts.local(name, told, now)
+
+
+@pytest.mark.parametrize("off", OFF)
+def test_a_start_that_has_just_been_told_is_never_taken_for_older_than_it_is(off: int) -> None:
+    """Nor is any other one: `off` is what this process's wall clock is ahead of the fleet's."""
+    starts, told = StartTimes(), {"a": NOW - 8 * SECOND, "b": NOW - SECOND, "c": NOW - 60 * SECOND}
+    for moment in told.values():
+        starts.observe(moment, NOW + off)
+    for name, moment in told.items():
+        assert 0 <= age(starts, name, moment, NOW + off) <= NOW - moment
+    starts.observe(NOW + 5 * SECOND, NOW + 5 * SECOND + off)
+    assert age(starts, "d", NOW + 5 * SECOND, NOW + 5 * SECOND + off) == 0
+
+
+@pytest.mark.parametrize("off", OFF)
+def test_a_start_grows_old_from_its_telling_on(off: int) -> None:
+    """So that none stays cold beyond one ramp, however wrong the clock is."""
+    starts = StartTimes()
+    first = age(starts, "a", NOW - SECOND, NOW + off)
+    assert age(starts, "a", NOW - SECOND, NOW + off + 30 * SECOND) == first + 30 * SECOND
+
+
+def test_with_a_right_clock_the_ages_are_right_once_a_start_has_been_told_at_once() -> None:
+    starts = StartTimes()
+    assert age(starts, "a", NOW, NOW) == 0
+    assert age(starts, "late", NOW - 7 * SECOND, NOW) == 7 * SECOND  # as after a discovery that was down
+
+
+def test_what_lies_further_back_than_a_step_explains_is_long_ago() -> None:
+    starts = StartTimes()
+    assert starts.local("a", 0, NOW) == LONG_AGO
+    assert starts.local("a", NOW - GREATEST_STEP - 1, NOW) == LONG_AGO
+    assert starts.local("a", NOW - GREATEST_STEP + 1, NOW) != LONG_AGO
+
+
+def test_a_start_told_as_earlier_than_the_one_before_happens_now() -> None:
+    """The clock that it was read from has been stepped back."""
+    starts = StartTimes()
+    starts.local("a", NOW, NOW)
+    assert age(starts, "a", NOW - HOUR, NOW + 30 * SECOND) == 0
+
+
+@pytest.mark.parametrize("off", OFF)
+def test_a_backend_put_back_by_operators_starts_then(off: int) -> None:
+    """That moment is of this machine's own clock, and makes no other backend older."""
+    script, clock = Script(), NOW + off
+    loop = asyncio.new_event_loop()
+    engine = Engine(script, SETTINGS, Names(SETTINGS, RAW), loop, lambda: clock)
+    engine.servers = Pretended()
+    maintenance = Maintenance(lambda: clock, engine.listed, engine.directory)
+    engine.put_back_at = maintenance.put_back_at
+
+    def told(*entries: tuple[str, int], whole: bool) -> dict[str, int]:
+        named = [{"name": n, "address": ":1", "status": "up", "since_ms": at // 1000} for n, at in entries]
+        maintenance.listed(Listing({"index": 1, "snapshot": whole, "endpoints": named}))
+        return {b.mark: b.started for b in script.of(it.BackendsListed)[-1].backends}
+
+    told(("a", NOW - 30 * SECOND), ("b", NOW - 40 * SECOND), whole=True)
+    maintenance.take_offline("a")
+    clock += 20 * SECOND
+    assert maintenance.put_online("a")
+    assert [b.started for b in script.of(it.BackendsListed)[-1].backends] == [clock]
+    clock += SECOND
+    (started,) = told(("c", NOW + 20 * SECOND), whole=False).values()  # told a second after it started
+    assert clock - started <= SECOND
+    clock += 30 * SECOND
+    (started,) = told(("a", NOW + 50 * SECOND), whole=False).values()  # it has been restarted once more
+    assert clock - started <= SECOND
+    loop.close()
+
+
+class Pretended:
+    """Takes the place of the backends' connections."""
+
+    def know(self, entry: object, backend: int) -> None: ...
+    def settle(self, gone: object) -> None: ...
+
 
 @pytest.mark.parametrize("off", [0, 3600, -3600])
 async def test_a_fresh_process_with_a_wrong_clock_does_not_push_a_cold_backend_over(
