Tell what became of each request and why each connection ended; count it at the end

EDGE_TRACE=1 writes each event with request ids; counts by reason are always kept and logged at the end of the process. Violations of a rule are counted and always logged.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -31,6 +31,7 @@
 from ironledge.net.maintenance import Maintenance
 from ironledge.net.retry import IN_FORCE
 from ironledge.net.sockets import CALLERS, Sockets
+from ironledge.net.trace import Trace
 from ironledge.wire import WireError, settings_from_json
 
 ACCEPTS_ON = 0.55  # s after SIGTERM: new connections go on coming for 0.4 s
@@ -136,7 +137,7 @@
         size = config.settings.fleet_size
         made = Discovery(
             config.discovery, index, lambda listing: self._listed(made, listing), size, within,
-            self._engine.directory,
+            self._engine.directory, self._engine.trace,
         )  # fmt: skip
         return made
 
@@ -157,11 +158,14 @@
             await _within(within, self._counter.connected)
 
     def reload(self, path: str) -> None:
+        trace = self._engine.trace
         try:
             config = read_config(path, {}, again=True)
         except ConfigError as error:
+            trace.event("reload", "not read")
             log.warning("configuration not read anew, the old one stays: %s", error)
             return
+        trace.event("reload", "read", discovery=config.discovery, counter=config.counter)
         if config.discovery != (self._next or self._discovery).address:
             if self._next:
                 self._next.stop()
@@ -216,10 +220,11 @@
         self.sockets = sockets = Sockets(config.sockets, self._callers)
         names, limits = Names(config.settings, config.raw), config.settings.limits
         loop, gateway = asyncio.get_running_loop(), Gateway(config.settings, config.seed)
-        self.engine = Engine(gateway, config.settings, names, loop, clock.now)
+        self.trace = Trace.from_environment()
+        self.engine = Engine(gateway, config.settings, names, loop, clock.now, self.trace)
         room = Room(config.memory_mb)
         size, wait = config.settings.fleet_size, limits.connect_timeout
-        self.backends = Backends(sockets.backends, config.conn_idle, wait, room, size)
+        self.backends = Backends(sockets.backends, config.conn_idle, wait, room, size, self.trace)
         self.engine.servers = self.backends
         self.maintenance = Maintenance(clock.now, self.engine.listed, self.engine.directory)
         self.engine.put_back_at = self.maintenance.put_back_at
@@ -253,6 +258,7 @@
             if learned is not None:
                 self.engine.take_up(learned)
         port = await self.listener.listen(*config.listen, config.inherited)
+        self.trace.event("process", "serving")
         log.info("listening on %s:%d", config.listen[0], port)
         if self.handover:
             await self.handover.offer()
@@ -260,6 +266,7 @@
     async def stop(self) -> None:
         if self._leaving:
             self._leaving.cancel()
+        self.trace.event("process", "stopping", open=self.engine.open)
         await _finish(self.engine, self.listener)
         if self.sources:
             self.sources.stop()
@@ -268,6 +275,8 @@
         self.listener.stop()
         if self.handover:
             self.handover.stop()
+        self.trace.event("process", "ended")
+        log.info("counts: %s", self.trace.summary())
 
     # The other process, at an upgrade.
 
@@ -289,6 +298,7 @@
 
     def hand_over(self) -> dict[str, Any]:
         log.info("handover: another process accepts from now on")
+        self.trace.event("process", "handed over", open=self.engine.open)
         self.listener.hand_over()
         self._leaving = asyncio.get_running_loop().create_task(self._leave())
         return self.engine.hand_over()
@@ -303,6 +313,7 @@
         """The process that took over is gone. Unless this one is at its end, too, it serves again."""
         if not self.stopping.is_set():
             log.warning("handover: the process that took over is gone, accepting again")
+            self.trace.event("process", "serving again")
             if self._leaving:
                 self._leaving.cancel()
             self.listener.take_back()
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -7,6 +7,7 @@
 import logging
 import socket
 from collections.abc import Callable, Iterable
+from enum import Enum
 
 import httptools
 
@@ -15,6 +16,7 @@
 from ironledge.net.http import BUFFERED, KERNEL_BUFFER, SLICE, Body, HttpConnection, Message, Room
 from ironledge.net.listing import Entry
 from ironledge.net.sockets import Share
+from ironledge.net.trace import Trace
 
 IDLE_PART = 0.75  # of the time after which a backend closes an idle connection: ours is closed by then
 SWEEP = 1.0  # s between looks for such connections
@@ -27,6 +29,27 @@
 KEEP = 8  # idle connections to a backend: more are of no use ...
 FLEET_KEEP = 32  # ... and of all ingresses together: each costs the backend some of what it can do
 
+
+
+class LinkEnd(Enum):
+    """Why a connection to a backend was ended, or had ended."""
+
+    IDLE = "idle"
+    EVICTED = "evicted"  # its descriptor was needed, or enough others rest
+    NOT_STANDING = "not standing"  # at its next use: the backend had ended it, or said what nobody asked for
+    WITHDRAWN = "withdrawn"  # the backend drains, has gone or has been restarted
+    ABORTED = "aborted"  # its attempt was given up
+    DENIED = "denied"  # its attempt might not begin any more
+    WRITE_FAILED = "write failed"
+    NOT_REUSABLE = "not reusable"  # answered, but the next request could not be told from this one
+    NOT_UNDERSTOOD = "not understood"
+    STUCK = "stuck"
+    BODY_GONE = "body gone"  # its beginning went with another attempt
+    UNWANTED = "unwanted"  # a long answer that nobody reads
+    BY_BACKEND = "by backend"
+    PROCESS_END = "process end"
+
+
 Ended = Callable[[Answer], None]
 Started = Callable[[Answer], None]
 log = logging.getLogger(__name__)
@@ -82,7 +105,7 @@
         if self.dial:
             self.dial.cancel()
         if self.link:
-            self.link.drop()
+            self.link.drop(LinkEnd.ABORTED)
         return self.written
 
     def withdraw(self) -> bool:
@@ -117,7 +140,7 @@
         """Asks for leave first, as the attempt may not be allowed to begin any more."""
         rest = exchange.permit()
         if rest is None or exchange.over:
-            self.drop()
+            self.drop(LinkEnd.DENIED)
             exchange.end(Answer(Outcome.MOOT))
             return
         data = exchange.head + rest
@@ -129,7 +152,7 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            self.drop()
+            self.drop(LinkEnd.WRITE_FAILED)
             exchange.lost()
             return
         if sent < len(data):  # from here on the last byte may be written at any time
@@ -148,7 +171,7 @@
         if self.dead or exchange is None or body is None:
             return
         if exchange.at < body.gone:  # its beginning has gone with another attempt
-            self.give_up()
+            self.give_up(LinkEnd.BODY_GONE)
             return
         while not (self._full or exchange.written or body.released):
             if exchange.at == body.came and not body.whole:
@@ -177,9 +200,10 @@
             pass
         return False
 
-    def drop(self) -> None:
+    def drop(self, reason: LinkEnd) -> None:
         if not self.dead:
             self.dead = True
+            self.pool.trace.event("backend connection closed", reason.value, backend=self.pool.name)
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
@@ -210,7 +234,8 @@
             exchange.started(answer)
             self._ease()
         elif body.long:  # nobody wants to know how it goes on
-            self.give_up(Answer(Outcome.ERROR) if message.status == 200 else _answer(message))
+            failed = Answer(Outcome.ERROR) if message.status == 200 else _answer(message)
+            self.give_up(LinkEnd.UNWANTED, failed)
 
     def _whole(self, message: Message, exchange: Exchange | None, answer: Answer) -> None:
         self.exchange = self.stream = None
@@ -224,7 +249,7 @@
         more = self._more or self._begun or self._lost_framing
         unsound = self.transport.get_write_buffer_size() > 0 or more or (exchange and not exchange.written)
         if exchange is None or not message.keep_alive or unsound:
-            self.drop()
+            self.drop(LinkEnd.NOT_REUSABLE)
         elif not self.dead:
             self.pool.rest(self)
         if exchange:
@@ -256,12 +281,12 @@
     def garbage(self, status: int) -> None:
         """It has answered, so it is up and may have run the request; a reset would say that it is down."""
         log.warning("backend %s: answer not understood: %s", self.pool.name, self.wrong)
-        self.give_up(Answer(Outcome.ERROR))
+        self.give_up(LinkEnd.NOT_UNDERSTOOD, Answer(Outcome.ERROR))
 
-    def give_up(self, answer: Answer | None = None) -> None:
+    def give_up(self, reason: LinkEnd, answer: Answer | None = None) -> None:
         """The attempt has failed, and with it the connection: an answer that was begun is cut short."""
         exchange, self.exchange = self.exchange, None
-        self.drop()
+        self.drop(reason)
         stream, self.stream = self.stream, None
         if stream:
             stream.cut()
@@ -277,7 +302,7 @@
         super().connection_lost(exc)
         if self.kept and self.exchange and not (self._begun or self._lost_framing):
             self.pool.kept.ended(well=False)
-        self.give_up()
+        self.give_up(LinkEnd.BY_BACKEND)
 
 
 def _answer(message: Message) -> Answer:
@@ -311,11 +336,13 @@
 
     __slots__ = (
         "address", "busy", "dials", "idle", "keep", "kept", "name", "now", "ready", "room", "share",
-        "started",
+        "started", "trace",
     )  # fmt: skip
 
-    def __init__(self, entry: Entry, share: Share, kept: Kept, room: Room, keep: int) -> None:
-        self.keep = keep
+    def __init__(
+        self, entry: Entry, share: Share, kept: Kept, room: Room, keep: int, trace: Trace | None = None
+    ) -> None:
+        self.keep, self.trace = keep, trace or Trace()
         self.name, self.address, self.share, self.kept, self.room = (
             entry.name, entry.address, share, kept, room,
         )  # fmt: skip
@@ -331,9 +358,9 @@
             link.idle_since = asyncio.get_running_loop().time()
             self.idle.append(link)
             if len(self.idle) > self.keep:
-                self.idle[0].drop()
+                self.idle[0].drop(LinkEnd.EVICTED)
         else:
-            link.drop()
+            link.drop(LinkEnd.WITHDRAWN)
 
     def left(self, link: Link) -> None:
         self.share.closed()
@@ -352,16 +379,16 @@
                 link.kept = True
                 self.busy.add(link)
                 return link
-            link.drop()
+            link.drop(LinkEnd.IDLE if link.idle_since <= oldest else LinkEnd.NOT_STANDING)
         return None
 
-    def close_idle(self) -> None:
+    def close_idle(self, reason: LinkEnd) -> None:
         for link in self.idle[:]:
-            link.drop()
+            link.drop(reason)
 
     def withdraw(self) -> None:
         """Attempts that wait for a connection have not been written, and will not be."""
-        self.close_idle()
+        self.close_idle(LinkEnd.WITHDRAWN)
         for exchange in list(self.dials):
             if exchange.dial:
                 exchange.dial.cancel()
@@ -376,7 +403,9 @@
         connect_timeout_us: int,
         room: Room | None = None,
         fleet_size: int = 1,
+        trace: Trace | None = None,
     ) -> None:
+        self._trace = trace or Trace()
         self._keep = min(KEEP, max(1, FLEET_KEEP // fleet_size))
         self._room = room or Room()
         self._share, self._idle = share, conn_idle_us / 1e6 * IDLE_PART
@@ -395,7 +424,7 @@
         for pool in self._pools.values():
             pool.withdraw()
             for link in list(pool.busy):
-                link.drop()
+                link.drop(LinkEnd.PROCESS_END)
 
     # The list.
 
@@ -403,7 +432,9 @@
         pool = self._pools.get(backend)
         if pool is None:
             if entry.status != "removed":
-                self._pools[backend] = Pool(entry, self._share, self._kept, self._room, self._keep)
+                self._pools[backend] = Pool(
+                    entry, self._share, self._kept, self._room, self._keep, self._trace
+                )
             return
         pool.ready, stale = entry.status == "up", False
         if entry.status != "removed":  # a new start or address: what was connected leads to the one before
@@ -437,6 +468,7 @@
         next request, a new one is worth its price then."""
         exchange, pool = Exchange(head, ended, body, started, permit), self._pools.get(backend)
         if pool is None or not pool.ready:
+            self._trace.event("connect", "not listed as up", backend=backend)
             exchange.lost()
             return exchange
         new = once and self._kept.failing > FRAGILE and self._share.room()
@@ -448,6 +480,7 @@
             exchange.dial = self._loop.create_task(self._connect(pool, exchange))
             exchange.dial.add_done_callback(lambda task: self._dialled(pool, exchange))
         else:
+            self._trace.event("connect", "no descriptor", backend=pool.name)
             exchange.lost()
         return exchange
 
@@ -463,7 +496,8 @@
                 await self._loop.sock_connect(sock, pool.address)
                 link = Link(pool, sock)
                 await self._loop.create_connection(lambda: link, sock=sock)
-        except (OSError, ValueError):  # refused, timed out, out of descriptors
+        except (OSError, ValueError) as error:  # refused, timed out, out of descriptors
+            self._trace.event("connect", type(error).__name__, backend=pool.name)
             exchange.lost()
         finally:
             pool.dials.discard(exchange)
@@ -473,7 +507,7 @@
                 if sock:
                     sock.close()
             elif exchange.over:
-                link.drop()
+                link.drop(LinkEnd.DENIED)
             else:
                 pool.busy.add(link)
                 link.send(exchange)
@@ -497,14 +531,14 @@
 
     def close_idle(self, backend: int) -> None:
         if pool := self._pools.get(backend):
-            pool.close_idle()
+            pool.close_idle(LinkEnd.IDLE)
 
     # Idle connections.
 
     def _evict(self) -> bool:
         for pool in self._pools.values():
             if pool.idle:
-                pool.idle[0].drop()
+                pool.idle[0].drop(LinkEnd.EVICTED)
                 return True
         return False
 
@@ -512,8 +546,8 @@
         oldest = self._loop.time() - self._idle
         for pool in self._pools.values():
             while pool.idle and pool.idle[0].idle_since <= oldest:
-                pool.idle[0].drop()
+                pool.idle[0].drop(LinkEnd.IDLE)
             for link in [x for x in pool.busy if x.stuck(self._loop.time() - STUCK)]:
                 log.warning("backend %s: stuck half way through a body", pool.name)
-                link.give_up()
+                link.give_up(LinkEnd.STUCK)
         self._sweep = self._loop.call_later(SWEEP, self._tick)
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -14,12 +14,11 @@
 from ironledge.net.http import MAX_HEAD
 from ironledge.net.listing import Document, Line, Listing
 from ironledge.net.retry import CONNECT_TIMEOUT, IN_FORCE, SILENT, Ended, RetryPolicy
+from ironledge.net.trace import Trace
 
 log = logging.getLogger(__name__)
 
 
-
-
 class Discovery:
     """`index` is the version held; with none, the whole list is asked for first."""
 
@@ -31,11 +30,13 @@
         fleet_size: int = 1,
         within: float = IN_FORCE,
         directory: Directory | None = None,
+        trace: Trace | None = None,
     ) -> None:
         """`within`: s in which the first list has to be told, where discovery has it and can be reached;
         `directory`: the list held, if it may be long."""
         self.address, self.index, self._changed = address, index, changed
         self.directory = directory
+        self._trace = trace or Trace()
         self.heard = asyncio.Event()  # set once a list has been told
         self.retry = RetryPolicy(fleet_size, within)
         self._task: asyncio.Task[None] | None = None
@@ -48,6 +49,8 @@
             self._task.cancel()
 
     def told(self, listing: Listing) -> None:
+        kind = "whole list" if listing.whole else "change"
+        self._trace.event("discovery told", kind, index=listing.index, entries=len(listing.packed))
         self.index = listing.index
         self._changed(listing)
         self.heard.set()
@@ -71,6 +74,7 @@
                 ended = watch.ended
                 if watch.heard:
                     retry.well(ended)
+            self._trace.event("discovery call ended", ended.name.lower().replace("_", " "), index=self.index)
             whole = ended is Ended.UNTOLD or self.index is None  # the next watch may say nothing, either
             if wait := retry.wait(ended, loop.time()):
                 await asyncio.sleep(wait)
--- a/tests/test_net_gone.py
+++ b/tests/test_net_gone.py
@@ -13,7 +13,7 @@
 from ironledge import interface as it
 from ironledge.interface import Outcome
 from ironledge.net import clients as clients_module
-from ironledge.net.backends import Backends, Exchange, Pool
+from ironledge.net.backends import Backends, Exchange, LinkEnd, Pool
 from ironledge.net.engine import Answer
 from tests.net_helpers import HOST, Ingress, PeerServer, Script, request
 from tests.test_net_clients import listing
@@ -94,14 +94,14 @@
             await asyncio.sleep(0)
     (pool,) = ingress.backends._pools.values()
     if "timer" in begins:
-        next(iter(pool.busy)).give_up()
+        next(iter(pool.busy)).give_up(LinkEnd.STUCK)
     leave(made, how)
     if "counter" in begins:
         counter.answer(Outcome.OK, 1.0)
     elif "timer" in begins:
         ingress.engine._fire(TOKEN)
     else:
-        next(iter(pool.busy)).give_up()
+        next(iter(pool.busy)).give_up(LinkEnd.STUCK)
     assert not pool.dials and not pool.busy  # in the same turn of the loop
     assert ingress.script.of(it.ClientGone)
     (moot,) = [e for e in ingress.script.of(it.AttemptEnded) if e.outcome is Outcome.MOOT]
--- /dev/null
+++ b/tests/test_net_trace.py
@@ -0,0 +1,54 @@
+"""Counts and events: what a log has to answer when something was lost."""
+
+from __future__ import annotations
+
+import json
+import logging
+import signal
+from pathlib import Path
+
+import pytest
+
+from ironledge.net.trace import Trace
+from tests.net_helpers import HOST, OK, PeerServer, answers, request
+from tests.test_net_main import ask, config, listens, start
+
+
+def test_events_are_counted_and_written_only_where_that_is_switched_on(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    quiet, loud = Trace.from_environment({}), Trace.from_environment({"EDGE_TRACE": "1"})
+    quiet.event("ended", "served", id=b"a")
+    assert not caplog.records
+    loud.event("ended", "served", id=b"a\xff", n=1)
+    (record,) = caplog.records
+    written = json.loads(record.getMessage())
+    assert written.pop("at") > 0
+    assert written == {"event": "ended", "reason": "served", "id": "a\xff", "n": 1}
+    assert json.loads(quiet.summary()) == {"ended/served": 1} == json.loads(loud.summary())
+
+
+def test_a_violation_is_always_written(caplog: pytest.LogCaptureFixture) -> None:
+    trace = Trace()
+    trace.violation("request closed unanswered", requests=2)
+    assert trace.violations == 1 and "request closed unanswered" in caplog.text
+
+
+async def test_a_process_tells_what_became_of_each_request(tmp_path: Path) -> None:
+    server = await PeerServer(answers(OK)).start()
+    backend = {"name": "s-1", "address": f"{HOST}:{server.port}", "status": "up"}
+    known = {"index": 1, "snapshot": True, "endpoints": [backend]}
+    (tmp_path / "config.json").write_text(json.dumps(config(known=known)))
+    ran = start(tmp_path / "config.json", EDGE_TRACE="1")
+    port = listens(ran)
+    assert b" 200 " in await ask(port, request("r0"))
+    ran.send_signal(signal.SIGTERM)
+    _, errors = ran.communicate(timeout=60)
+    lines = (line.partition("ironledge.trace: ")[2] for line in errors.splitlines())
+    events = [json.loads(line) for line in lines if line]
+    about = [(e["event"], e.get("reason")) for e in events if e.get("id") == "r0"]
+    assert about == [("arrived", None), ("attempt", "begun"), ("attempt", "ok"), ("ended", "served")]
+    counts = json.loads(errors.rpartition("counts: ")[2].splitlines()[0])
+    assert counts["ended/served"] == 1 and not any(name.startswith("violation") for name in counts)
+    server.stop()
