Play a soak test of real ingresses under overlapping troubles, judged by invariants

A pure judge holds what clients, backends and the processes' own events recorded against the promises.

Its first find is mended here: a process that inherits a listening socket took what had waited in its queue, for the process before or for nobody, as sent just now (P9): 0.54 s told with nothing left. Such a queue's requests now have the time since their data came; and what is read after a pause counts from the pause until the socket is drained.

--- a/fleetlab/__main__.py
+++ b/fleetlab/__main__.py
@@ -1,15 +1,20 @@
-"""`python -m fleetlab`: list the experiments, sweep one over its sizes, show a result."""
+"""`python -m fleetlab`: list the experiments, sweep one over its sizes, show a result, play soak tests."""
 
 from __future__ import annotations
 
+import asyncio
 import sys
+from collections import Counter
 from pathlib import Path
 
 import click
+import msgspec
 
 from fleetlab.experiments import ALL
 from fleetlab.results import Point, Result, ResultError, read
 from fleetlab.slopes import LEAST_SIZES
+from fleetlab.soak import run as soaks
+from fleetlab.soak.judge import figures, judge
 from fleetlab.sweep import ProgramError, Stopped, play
 from fleetlab.worker import WorkerError
 
@@ -90,6 +95,35 @@
         raise click.BadParameter(str(error), param_hint="PATH") from None
 
 
+@main.command()
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="of the first run")
+@click.option("--runs", type=click.IntRange(1, 1000), default=1, show_default=True, help="a seed each")
+@click.option("--seconds", type=click.FloatRange(8, 3600), default=30.0, show_default=True)
+@click.option("--nodes", type=click.IntRange(1, 60), default=12, show_default=True)
+@click.option("--backends", type=click.IntRange(6, 200), default=24, show_default=True)
+@click.option("--rate", type=click.FloatRange(1, 2000), default=250.0, show_default=True, help="requests a s")
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), help="keeps the records")
+def soak(
+    seed: int, runs: int, seconds: float, nodes: int, backends: int, rate: float, out: Path | None
+) -> None:
+    """Plays real ingresses under overlapping troubles; exit code 1 if an invariant is broken."""
+    broken = 0
+    for number in range(seed, seed + runs):
+        run, problems = asyncio.run(soaks.play(number, seconds, nodes, backends, rate))
+        found = judge(run)
+        broken += bool(found)
+        totals = "  ".join(f"{name} {value:g}" for name, value in sorted(figures(run).items()))
+        click.echo(f"seed {number}: {len(found)} breaks  {totals}")
+        for rule, count in Counter(rule for rule, _ in found).items():
+            click.echo(f"  {rule}: {count}, such as {next(why for r, why in found if r == rule)[:900]}")
+        for problem in problems:
+            click.echo(f"  the run itself: {problem}")
+        if out:
+            out.mkdir(parents=True, exist_ok=True)
+            (out / f"soak-{number}.json").write_bytes(msgspec.json.encode(run))
+    sys.exit(1 if broken else 0)
+
+
 def _report(point: Point, took: float) -> None:
     figures = "  ".join(f"{name} {value:.4g}" for name, value in point.figures.items())
     click.echo(f"size {point.size:g} ({took:.0f} s): {figures}")
--- /dev/null
+++ b/fleetlab/soak/judge.py
@@ -0,0 +1,172 @@
+"""The invariants that judge a run: pure, over what was recorded. Their numbers are of docs/promises.md."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from itertools import pairwise
+
+from fleetlab.soak.records import Arrival, Call, Ending, Life, Run, Told
+from fleetlab.soak.run import host_of
+from fleetlab.soak.setup import GRACE, KEYED, LONGEST, SAFE, UNSAFE
+
+SLACK = 0.05  # s by which every limit is longer on sockets
+ANSWER_SLACK = 0.5  # s past its time in which a late answer only earns nothing
+DEADLINE_SLACK = 0.15
+GONE_AFTER = 0.1  # s after its client's close in which an attempt may still begin
+HELD_UP = 0.15  # s for which a node may stand still
+STOP_ACCEPTS = 0.4  # s after SIGTERM in which clients come
+END_AFTER = LONGEST + 0.7  # s after SIGTERM
+BAD_PEER_SLACK = 0.3
+READY_WITHIN = 10.0
+
+
+def judge(run: Run) -> list[tuple[str, str]]:
+    """Every break, as the invariant's name and what happened."""
+    slack = SLACK + max(run.lag.values())
+    calls: dict[str, list[Call]] = defaultdict(list)
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    lives: dict[int, list[Life]] = defaultdict(list)
+    for call in run.calls:
+        calls[call.id].append(call)
+    for arrival in sorted(run.arrivals, key=lambda a: a.whole_at):
+        arrivals[arrival.id].append(arrival)
+    for life in run.lives:
+        lives[life.node].append(life)
+    found: list[tuple[str, str]] = []
+    for id, asked in calls.items():
+        of_node = lives[asked[0].node]
+        found += [("P1 one final answer", why) for call in asked for why in _answered(call, of_node, slack)]
+        found += [("P3 unchanged", f"{id}: {call}") for call in asked if not call.sound]
+        found += _effects(run, id, asked, arrivals[id], slack)
+        found += _times(asked[-1], arrivals[id], of_node, slack)
+    found += [("P3 unchanged", f"{a}") for a in run.arrivals if not a.sound or a.id not in calls]
+    found += [("P7 nothing new to a draining backend", why) for why in _drains(run, lives, calls, slack)]
+    found += [why for life in run.lives for why in _life(life)]
+    found += [("P14 bad peers", why) for why in _bad_peers(run, lives, slack)]
+    return found
+
+
+def _read_by(call: Call, lives: Iterable[Life]) -> Life | None:
+    return next((life for life in lives if call.id in life.arrived), None)
+
+
+def _answered(call: Call, lives: list[Life], slack: float) -> Iterator[str]:
+    if call.ending in (Ending.LEFT, Ending.REFUSED) or _away(call.sent_at, lives):
+        return
+    until = call.ended_at or call.sent_at + call.timeout + 2.0
+    if any(life.killed_at and call.sent_at <= life.killed_at <= until + slack for life in lives):
+        return
+    life = _read_by(call, lives)
+    if call.ending is Ending.ANSWERED:
+        late = call.ended_at - call.sent_at - call.timeout
+        if late > ANSWER_SLACK + slack and not call.behind_others:
+            yield f"answered {late:.2f} s late: {call}"
+    elif call.ending is Ending.NO_ANSWER:
+        yield f"never answered, read by {life.node if life else 'nobody'}: {call}"
+    elif call.ending is not Ending.BROKEN and life is not None:
+        yield f"read and closed unanswered; the node says {life.ended.get(call.id)}: {call}"
+    elif call.ending is not Ending.BROKEN and call.first_on_connection:
+        yield f"closed unread on a new connection: {call}"
+
+
+def _away(at: float, lives: list[Life]) -> bool:
+    """The node was ending or not there; what comes then may wait for its next process."""
+    for life in lives:
+        serving_until = (life.stopped_at or life.killed_at or life.ended_at or float("inf")) + STOP_ACCEPTS
+        if life.ready_at and life.ready_at <= at <= serving_until:
+            return False
+    return True
+
+
+def _effects(
+    run: Run, id: str, asked: list[Call], got: list[Arrival], slack: float
+) -> Iterator[tuple[str, str]]:
+    cls, ran = asked[0].cls, [a for a in got if not a.never_ran]
+    if len(ran) > 1 and cls == UNSAFE:
+        yield "P4 unsafe requests once", f"{id}: {ran}"
+    if len(ran) > 1 and cls == KEYED and ran[-1].whole_at > ran[0].began_at + run.window + slack:
+        yield "P5 keyed repeats in their window", f"{id}, window {run.window}: {ran}"
+    if not run.may_duplicate or cls == UNSAFE:
+        for before, after in pairwise(ran):
+            if not before.ended_at or after.whole_at < before.ended_at - slack:
+                yield "P4 no second copy", f"{id}: {before} {after}"
+    if cls == UNSAFE and ran and any(call.status in (429, 503) for call in asked):
+        yield "P6 refusals are harmless", f"{id}: {asked} {ran}"
+
+
+def _times(call: Call, got: list[Arrival], lives: list[Life], slack: float) -> Iterator[tuple[str, str]]:
+    for arrival in got:
+        if call.ending is Ending.LEFT and arrival.began_at > call.ended_at + GONE_AFTER + slack:
+            late = arrival.began_at - call.ended_at
+            yield "P8 clients gone", f"begun {late:.3f} s after: {call} {arrival}"
+        left = call.sent_at + call.timeout - arrival.began_at
+        if arrival.told > max(left, 0.001) + DEADLINE_SLACK + slack and not _away(call.sent_at, lives):
+            yield "P9 deadlines told", f"{arrival.told:.3f} s told, {left:.3f} s left: {call} {arrival}"
+
+
+def _drains(
+    run: Run, lives: dict[int, list[Life]], calls: dict[str, list[Call]], slack: float
+) -> Iterator[str]:
+    by_backend: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in run.arrivals:
+        by_backend[arrival.backend].append(arrival)
+    told: dict[tuple[int, str], Told] = {}
+    for change in run.told:
+        first = told.setdefault((change.node, change.backend), change)
+        if change.at < first.at:
+            told[change.node, change.backend] = change
+    for change in told.values():
+        for arrival in by_backend[host_of(change.backend)]:
+            late = arrival.began_at - change.at - GRACE
+            if late > slack + HELD_UP and arrival.id in calls and calls[arrival.id][0].node == change.node:
+                life = _read_by(calls[arrival.id][0], lives[change.node])
+                began = life.started_at if life else 0.0
+                yield f"{late:.3f} s past the grace, {change}, process of {began:.2f}: {arrival}"
+
+
+def _life(life: Life) -> Iterator[tuple[str, str]]:
+    name = f"node {life.node}, started at {life.started_at:.2f}"
+    if life.tracebacks:
+        yield "P1 no crash", f"{name}: {life.tracebacks} tracebacks"
+    for rule in life.rules:
+        yield "its own rules", f"{name}: {rule}"
+    if life.ready_at - life.started_at > READY_WITHIN:
+        yield "P21 ready", f"{name}: after {life.ready_at - life.started_at:.1f} s"
+    twice = {id: how for id, how in life.ended.items() if len(how) > 1}
+    if twice:
+        yield "P2 one outcome", f"{name}: {twice}"
+    if life.killed_at and not life.stopped_at:
+        return
+    if life.killed_at or life.exit_code != 0:
+        yield "P15 an end in order", f"{name}: exit code {life.exit_code}, killed {bool(life.killed_at)}"
+    if not life.stopped_at and not life.handed_over_at and life.ended_at:
+        yield "P1 no crash", f"{name}: it ended by itself with {life.exit_code}"
+    if not life.killed_at:
+        open_still = [id for id in life.arrived if id not in life.ended]
+        if open_still:
+            yield "P1 one final answer", f"{name}: nothing became of {open_still[:5]}"
+
+
+def _bad_peers(run: Run, lives: dict[int, list[Life]], slack: float) -> Iterator[str]:
+    for peer in run.bad_peers:
+        took = peer.ended_at - peer.connected_at
+        served = peer.ended_at and took <= peer.owed_within + BAD_PEER_SLACK + slack
+        killed = any(life.killed_at and life.ended_at >= peer.connected_at for life in lives[peer.node])
+        if not served and not killed and not _away(peer.connected_at, lives[peer.node]):
+            yield f"{took if peer.ended_at else float('inf'):.2f} s: {peer}"
+
+
+def figures(run: Run) -> dict[str, float]:
+    """What the run amounted to, so that one that tested nothing is seen."""
+    endings: dict[str, float] = defaultdict(float)
+    for call in run.calls:
+        name = f"answered {call.status}" if call.ending is Ending.ANSWERED else call.ending.value
+        endings[name] += 1
+    repeats = len(run.arrivals) - len({arrival.id for arrival in run.arrivals})
+    safe = sum(call.cls == SAFE for call in run.calls)
+    return dict(endings) | {
+        "requests": float(len(run.calls)), "safe requests": float(safe), "arrivals": float(len(run.arrivals)),
+        "repeats": float(repeats), "troubles": float(len(run.troubles)), "processes": float(len(run.lives)),
+        "bad peers": float(len(run.bad_peers)), "most late s": max(run.lag.values()),
+    }  # fmt: skip
--- /dev/null
+++ b/fleetlab/soak/setup.py
@@ -0,0 +1,69 @@
+"""The settings of a run, drawn from its seed, in the form that an ingress reads."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from dataclasses import dataclass
+from typing import Any
+
+SAFE, UNSAFE, KEYED = "read", "order", "save"
+CLASSES = (SAFE, UNSAFE, KEYED)
+GRACE = 0.25  # s in which sends to a draining backend have to cease
+LONGEST = 3.0  # s: the longest deadline
+CUSTOMERS = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    nodes: int
+    window: float  # s of a keyed class
+    may_duplicate: bool
+    may_cancel: bool
+    connect_timeout: float  # s
+    idle: float  # s after which a backend closes an idle connection
+    sockets: int
+
+    @classmethod
+    def draw(cls, rng: random.Random, nodes: int) -> Setup:
+        return cls(
+            nodes,
+            window=rng.choice([0.6, 1.5, 5.0]),
+            may_duplicate=rng.random() < 0.5,
+            may_cancel=rng.random() < 0.7,
+            connect_timeout=rng.choice([0.25, 0.6]),
+            idle=rng.choice([1.0, 3.0, 10.0]),
+            sockets=rng.choice([128, 256, 1024]),
+        )
+
+    def settings(self, me: int) -> dict[str, Any]:
+        """As the simulator's first message has them; times in microseconds."""
+        semantics = {SAFE: "retryable", UNSAFE: "fragile", KEYED: "dedup"}
+        services = [
+            {"name": name, "on_time": 1_000_000, "deadline": round(LONGEST * 1e6), "semantics": kind,
+             "memory_span": round(self.window * 1e6), "dedup_scope": "all"}
+            for name, kind in semantics.items()
+        ]  # fmt: skip
+        return {
+            "me": me, "fleet_size": self.nodes, "period": 1000, "failure_domains": ["a"], "flavors": ["m"],
+            "services": services,
+            "contracts": [{"name": "gold", "quota_rate": 20.0, "burst": 40.0}],
+            "ceilings": {
+                "max_attempts": 3, "cancel": self.may_cancel, "may_duplicate": self.may_duplicate,
+                "connect_timeout": round(self.connect_timeout * 1e6), "retry_after": True,
+                "conn_idle": round(self.idle * 1e6), "max_retry_after": 500_000, "max_open": 0,
+            },
+            "safety": {"answer_slack": 8000, "drain_grace": round(GRACE * 1e6), "cold_share": 0.2,
+                       "ramp_time": 4_000_000, "tip_multiple": 2.0, "fall": 1_000_000},
+            "domain": {"may_count": True, "count_wait": 30_000, "units_top": 4},
+        }  # fmt: skip
+
+
+def expected(request_id: str, body: bytes, size: int) -> bytes:
+    """The answer that backends make for a request: told by its id and body, `size` bytes at the least."""
+    told = f"{request_id}:{hashlib.sha1(body).hexdigest()}:".encode()
+    return told + b"." * max(0, size - len(told))
+
+
+def key_of(request_id: str) -> str:
+    return f"key-{request_id}"
--- a/fleetlab/standins/sockets.py
+++ b/fleetlab/standins/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Iterable
 from typing import cast
 
@@ -19,6 +20,15 @@
     return sock
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Ends the connection by a reset, whatever is unread or unsent."""
+    if not transport.is_closing():
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        transport.abort()
+
+
 class Connection(asyncio.Protocol):
     transport: asyncio.Transport
 
--- a/ironledge/net/acceptor.py
+++ b/ironledge/net/acceptor.py
@@ -68,15 +68,17 @@
         listening: socket.socket,
         made: Callable[[float | None], asyncio.BaseProtocol],
         wanted: Callable[[int], bool] = lambda opening: True,
+        queued_before: bool = False,
     ) -> None:
-        """`wanted`: is given the number of connections that are taken and have no protocol yet."""
+        """`wanted` is given the number of connections that are taken and have no protocol yet;
+        `queued_before`: the socket has been listening, and some may have waited for any time."""
         listening.setblocking(False)
         listening.listen(BACKLOG)
         self._socket, self._made, self._wanted = listening, made, wanted
         self._loop = asyncio.get_running_loop()
         self._reading = False
         self._full = False  # reading stopped as no further connection was wanted
-        self._paused_at: float | None = None  # until the queue has been found empty once
+        self._paused_at = 0.0 if queued_before else None  # until the queue has been found empty once
         self._retry: asyncio.TimerHandle | None = None
         self._opening: set[asyncio.Task[None]] = set()
 
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -195,7 +195,7 @@
             listening = await listening_socket(host, port)
         else:
             listening = socket.socket(fileno=os.dup(inherited))
-        self._acceptor = Acceptor(listening, self._connected, self._has_place)
+        self._acceptor = Acceptor(listening, self._connected, self._has_place, inherited is not None)
         self._acceptor.start()
         self._tick()
         bound: int = listening.getsockname()[1]
@@ -348,7 +348,7 @@
         self._at = 0  # how far
         self._keep = True
         self._held_up = 0  # when reading stopped for want of room: that time is not the client's
-        self._waited = 0  # bytes that had come when reading went on, and are not read yet
+        self._catching_up = False  # reading has gone on, and what had come meanwhile is not all read yet
         self._written = self._read = 0  # bytes, and of these the ones that the client's machine has taken
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -393,17 +393,17 @@
 
     def data_received(self, data: bytes) -> None:
         if self not in self._listener.lingering:
-            self.received_at = self._arrival(len(data))
+            self.received_at = self._arrival()
             super().data_received(data)
             if self._begun:
                 self._heard_at = self._listener.now()
 
-    def _arrival(self, size: int) -> int:
+    def _arrival(self) -> int:
         """When the data that has just been read came to this machine, at the earliest (us): it may have
         waited while nothing was read, or for the connection to be accepted."""
         now = self._listener.now()
-        if self._waited > 0:
-            self._waited -= size
+        if self._catching_up:
+            self._catching_up = unread(self.transport) > 0
             return self._held_up
         if self._waited_since is None:
             return now
@@ -458,7 +458,7 @@
             self._paused = False
             self._heard_at = self._listener.now()
             self._began += self._heard_at - self._held_up
-            self._waited = unread(self.transport)
+            self._catching_up = True
             self.transport.resume_reading()
 
     def slow(self, now: int) -> bool:
--- a/tests/test_net_arrival.py
+++ b/tests/test_net_arrival.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator
 
@@ -104,3 +105,18 @@
         assert (await reader.readuntil(b"\r\n")).split()[1] in (b"429", b"504")
     assert len(ingress.script.of(it.RequestArrived)) == 1
     writer.close()
+
+
+async def test_a_request_that_waited_in_an_inherited_queue_has_what_is_left(backend: PeerServer) -> None:
+    """The process before has ended, and the platform has held the socket until this one listens."""
+    with socket.create_server((HOST, 0)) as held:
+        _, writer = await asyncio.open_connection(*held.getsockname())
+        writer.write(request("r0", timeout="2000m"))
+        sent = time.monotonic()
+        await asyncio.sleep(0.8)
+        ingress = Ingress(Script(send_first))
+        ingress.engine.listed(listing(backend.port))
+        await ingress.listener.listen(HOST, 0, held.fileno())
+        assert await told(backend, "r0") <= TIMEOUT - (time.monotonic() - sent) + SLACK
+        ingress.stop()
+        writer.close()
