--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -104,6 +104,24 @@
     serving.stop()
 
 
+async def test_a_process_that_serves_again_can_be_found_by_the_next(tmp_path: Path) -> None:
+    """The one that took over had offered itself before it died: its name is stale, and was left in the way."""
+    old = Process()
+    serving, coming = Handover(old, str(tmp_path)), Handover(Process(), str(tmp_path))
+    await serving.offer()
+    await coming.find(ignored)
+    await coming.take()
+    await coming.offer()
+    coming.stop()
+    await old.until(lambda: old.alone == 1)
+    async with asyncio.timeout(5):
+        while (again := Handover(Process(), str(tmp_path))) and await again.find(ignored) is None:
+            await asyncio.sleep(0.01)
+    assert await again.take() is not None and old.given == 2
+    again.stop()
+    serving.stop()
+
+
 async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
     """Both lines in one read: the call was carried out first, and then undone by the state before it."""
     listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
