Offer an upgrade once more when a successor has died or the folder has failed

Change: whoever serves again offers itself anew, and a failed offer is tried each second. Shown by a test that failed and by a real process whose four calls fail with three errnos each at its start.

--- a/fleetlab/soak/nodes.py
+++ b/fleetlab/soak/nodes.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -22,12 +23,16 @@
 HOST = "127.0.0.1"
 READY = 60.0  # s for a process to listen
 KILL_AFTER = 3.7  # s from SIGTERM, as the platform does
+PORTS = (10_000, 32_000)  # under the range of outgoing connections
 LONGEST_LINE = 1024 * 1024
 
 
 def free_port() -> int:
-    with socket.create_server((HOST, 0)) as sock:
-        return int(sock.getsockname()[1])
+    """One that the system gives to no outgoing connection: a node that is down must find it free again."""
+    while True:
+        port = random.randrange(*PORTS)
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            return port
 
 
 class Process:
--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -261,7 +261,7 @@
         self.trace.event("process", "serving")
         log.info("listening on %s:%d", config.listen[0], port)
         if self.handover:
-            await self.handover.offer()
+            self.handover.offer()
 
     async def stop(self) -> None:
         if self._leaving:
--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -21,6 +21,7 @@
 VERSION = 1  # of the messages: another one's are not understood, and the start goes on without them
 NAME = "handover"
 MAX_LINE = 16 * 1024 * 1024
+OFFER_AGAIN = 1.0  # s until the next try where the folder does not take the name, as when its disk is full
 PATIENCE = 1.5  # s for an answer: the new process has 6 s in all until it must serve
 
 log = logging.getLogger(__name__)
@@ -127,6 +128,7 @@
         self._path = Path(directory, NAME)
         self._channel: Channel | None = None  # to the other process, if there is one
         self._acceptor: Acceptor | None = None
+        self._offer_again: asyncio.TimerHandle | None = None
 
     async def find(self, take: Callable[[Message], None]) -> Message | None:
         """What the process that serves tells, once `take` has had it; None where there is none, or none that
@@ -153,8 +155,10 @@
             log.warning("handover: %s: %s", what, error or "no answer")
             return None
 
-    async def offer(self) -> None:
-        """Listens for the next one. Renamed into place: whoever finds the name can connect."""
+    def offer(self) -> None:
+        """Listens for the next one. Renamed into place: whoever finds the name can connect. Where that fails
+        it is tried again until `stop`."""
+        self._withdraw_offer()
         made = self._path.with_name(f"{NAME}.{os.getpid()}")
         sock: socket.socket | None = None
         try:
@@ -167,10 +171,20 @@
             if sock:
                 sock.close()
             log.warning("handover: no upgrade can be offered: %s", error)
+            loop = asyncio.get_running_loop()
+            self._offer_again = loop.call_later(OFFER_AGAIN, self.offer)
             return
         acceptor.start()
         self._acceptor = acceptor
 
+    def _withdraw_offer(self) -> None:
+        if self._offer_again:
+            self._offer_again.cancel()
+            self._offer_again = None
+        if self._acceptor:
+            self._acceptor.close()
+            self._acceptor = None
+
     def note(self, note: Message) -> None:
         if self._channel:
             self._channel.tell({"note": note})
@@ -197,11 +211,11 @@
         if self.gave:
             self.gave = False
             self.process.deserted()
+            self.offer()  # the other one may have offered itself under the same name
 
     def stop(self) -> None:
         """The name is left: it is stale now, or the next process's."""
-        if self._acceptor:
-            self._acceptor.close()
+        self._withdraw_offer()
         channel, self._channel = self._channel, None
         if channel:
             channel.abort()
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -14,6 +15,7 @@
 
 import pytest
 
+from fleetlab.faults import Call, Faults, build
 from ironledge import interface as it
 from ironledge.__main__ import Ingress, read_config
 from ironledge.brain import CARRIED, Gateway
@@ -72,7 +74,7 @@
 async def test_a_new_process_is_told_takes_over_and_both_follow_calls(tmp_path: Path) -> None:
     old, new = Process(), Process()
     serving, coming = Handover(old, str(tmp_path)), Handover(new, str(tmp_path))
-    await serving.offer()
+    serving.offer()
     told: list[Any] = []
     assert await coming.find(told.append) == {"drained": True} and (old.given, old.shared) == (0, [True])
     assert told == [{"drained": True}] and new.taken == list(old.parts())
@@ -81,7 +83,7 @@
     await old.until(lambda: old.notes == [{"backend": "a", "out": True}])
     serving.note({"drain": True})
     await new.until(lambda: new.notes == [{"drain": True}])
-    await coming.offer()  # for the next one, under the same name
+    coming.offer()  # for the next one, under the same name
     third = Handover(Process(), str(tmp_path))
     serving.stop()
     assert await third.find(ignored) == {"drained": True} and old.given == 1
@@ -92,7 +94,7 @@
 async def test_a_process_whose_successor_dies_is_told_so(tmp_path: Path) -> None:
     old = Process()
     serving, coming = Handover(old, str(tmp_path)), Handover(Process(), str(tmp_path))
-    await serving.offer()
+    serving.offer()
     await coming.find(ignored)
     await coming.take()
     coming.stop()
@@ -105,13 +107,13 @@
 
 
 async def test_a_process_that_serves_again_can_be_found_by_the_next(tmp_path: Path) -> None:
-    """The one that took over had offered itself before it died: its name is stale, and was left in the way."""
+    """The one that took over had offered itself before it died: its name is stale, and was in the way."""
     old = Process()
     serving, coming = Handover(old, str(tmp_path)), Handover(Process(), str(tmp_path))
-    await serving.offer()
+    serving.offer()
     await coming.find(ignored)
     await coming.take()
-    await coming.offer()
+    coming.offer()
     coming.stop()
     await old.until(lambda: old.alone == 1)
     async with asyncio.timeout(5):
@@ -122,6 +124,35 @@
     serving.stop()
 
 
+@pytest.mark.parametrize("call", [Call.SOCKET, Call.BIND, Call.LISTEN, Call.RENAME])
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO, errno.ENFILE], ids=errno.errorcode.get)
+async def test_a_folder_that_fails_for_a_while_puts_an_upgrade_off_and_ends_no_start(
+    tmp_path: Path, call: Call, error: int
+) -> None:
+    """A real process whose system calls fail as it offers itself: it serves, and is found later on."""
+    faults = Faults(build(tmp_path), tmp_path / "faults")
+    path, folder = tmp_path / "config.json", tmp_path / "shared"
+    folder.mkdir()
+    path.write_text(json.dumps(config()))
+    with socket.create_server((HOST, 0)) as held:
+        held.set_inheritable(True)
+        inherits = {"EDGE_LISTEN_FD": str(held.fileno()), "TMPDIR": str(folder)}
+        faults.set(call, error, 1 if call is Call.RENAME else 2)
+        ran = start(path, (held.fileno(),), **(inherits | faults.environment()))
+        port = await asyncio.to_thread(listens, ran)
+        faults.clear()
+        coming = Handover(Process(), str(folder))
+        async with asyncio.timeout(10):
+            while await coming.find(ignored) is None:
+                await asyncio.sleep(0.05)
+        coming.stop()
+        assert port == held.getsockname()[1]
+        ran.send_signal(signal.SIGTERM)
+        _, errors = await asyncio.to_thread(ran.communicate, timeout=30)
+        assert ran.returncode == 0 and "Traceback" not in errors
+    faults.close()
+
+
 async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
     """Both lines in one read: the call was carried out first, and then undone by the state before it."""
     listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
@@ -163,10 +194,10 @@
         left.bind(str(tmp_path / NAME))
     coming = Handover(Process(), str(tmp_path))
     assert await coming.find(ignored) is None and await coming.take() is None
-    await coming.offer()
+    coming.offer()
     assert await Handover(Process(), str(tmp_path)).find(ignored) is not None
     (tmp_path / "file").write_text("")
-    await Handover(Process(), str(tmp_path / "file")).offer()  # cannot: the log says so
+    Handover(Process(), str(tmp_path / "file")).offer()  # cannot: the log says so
     coming.stop()
 
 
