--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -18,12 +19,12 @@
 from fleetlab.faults import Call, Faults, build
 from ironledge import interface as it
 from ironledge.__main__ import Ingress, read_config
-from ironledge.brain import CARRIED, Gateway
+from ironledge.brain import CARRIED, Gateway, count_name
 from ironledge.net.engine import Engine, Names
 from ironledge.net.handover import NAME, Handover
 from ironledge.net.maintenance import Maintenance
 from ironledge.net.sockets import Sockets
-from tests.net_helpers import HOST, OK, RAW, SETTINGS, PeerServer, answers, entry, read_answer, request
+from tests.net_helpers import HOST, OK, RAW, SETTINGS, Peer, PeerServer, answers, entry, read_answer, request
 from tests.test_net_main import ask, config, listens, start
 
 UP = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -153,6 +154,47 @@
     faults.close()
 
 
+@pytest.mark.parametrize("step", [3, 3600, -3600])
+async def test_a_wall_clock_stepped_before_an_upgrade_changes_no_window(tmp_path: Path, step: int) -> None:
+    """The new process goes on with the old one's clock: both count a customer's units under one name."""
+    added: list[tuple[int, float]] = []
+
+    def count(peer: Peer) -> None:
+        *lines, peer.data = peer.data.split(b"\r\n")
+        for line in lines:
+            if line.startswith(b"add "):
+                added.append((int(line.split()[1], 16), time.time()))
+            peer.transport.write(b"ok 1\r\n" if line.startswith(b"add ") else b"pong\r\n")
+
+    server, counter = await PeerServer(answers(OK)).start(), await PeerServer(count).start()
+    faults = Faults(build(tmp_path), tmp_path / "faults")
+    path = tmp_path / "config.json"
+    listed = {"name": "s-1", "address": f"{HOST}:{server.port}", "status": "up"}
+    known = {"index": 1, "snapshot": True, "endpoints": [listed]}
+    path.write_text(json.dumps(config(known=known, counter=f"{HOST}:{counter.port}")))
+    with socket.create_server((HOST, 0)) as held:
+        held.set_inheritable(True)
+        more = {"EDGE_LISTEN_FD": str(held.fileno()), "TMPDIR": str(tmp_path)} | faults.environment()
+        old = start(path, (held.fileno(),), **more)
+        port = await asyncio.to_thread(listens, old)
+        faults.shift_wall_clock(step)
+        new = start(path, (held.fileno(),), **more)
+        await asyncio.to_thread(listens, new)
+        for number in range(12):
+            customer = f"customer={number:016x}"
+            assert b" 200 " in await ask(port, request(f"r{number}", X_Quota="units=1,spread=2,first=0",
+                                                       Cookie=customer))  # fmt: skip
+        for ran in (new, old):
+            ran.kill()
+            await asyncio.to_thread(ran.communicate)
+    window = 2  # s: burst over rate of the plan
+    expected = {count_name(n, int(at) // window - d) for n in range(12) for _, at in added for d in (0, 1)}
+    assert added and {name for name, _ in added} <= expected
+    faults.close()
+    server.stop()
+    counter.stop()
+
+
 async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
     """Both lines in one read: the call was carried out first, and then undone by the state before it."""
     listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
