Go on with the old process's clock at an upgrade

What a hand-over carries (accounts, put-backs) are moments of the old process's clock, and windows are named by it.

Change: the old process tells the base of its clock, which stands on the machine's one monotonic clock, and the new one adopts it before anything is timed; one of the version before tells none. A process that starts afresh with a wrong clock still names its windows by it: open.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -215,7 +215,8 @@
 
     def __init__(self, config: Config) -> None:
         self._known: Listing | None = config.known  # until it has been taken in: a long one is not held twice
-        self.config, clock = replace(config, known=None), Clock()
+        self.config, self.clock = replace(config, known=None), Clock()
+        clock = self.clock
         self._callers = CALLERS if config.admin else 0
         self.sockets = sockets = Sockets(config.sockets, self._callers)
         names, limits = Names(config.settings, config.raw), config.settings.limits
@@ -282,6 +283,7 @@
 
     def _take_up(self, told: dict[str, Any]) -> None:
         try:
+            self.clock.adopt(int(told.get("clock", self.clock.base)))  # the version before tells none
             self._told = self.maintenance.take_up(told)
             self.listener.drain(bool(told["drained"]))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -294,7 +296,7 @@
         self.maintenance.take_part(part)
 
     def described(self) -> dict[str, Any]:
-        return self.maintenance.described() | {"drained": self.listener.draining}
+        return self.maintenance.described() | {"drained": self.listener.draining, "clock": self.clock.base}
 
     def hand_over(self) -> dict[str, Any]:
         log.info("handover: another process accepts from now on")
