--- a/fleetlab/soak/clients.py
+++ b/fleetlab/soak/clients.py
@@ -22,6 +22,7 @@
 STAYS = 4.5  # s that such a peer stays
 LOOK = 0.05
 NONSENSE = (b"\x16\x03\x01\x02\x00\x01\x00", b"HELO there\r\n\r\n", b"GET / HTTP/9\r\n\r\n")
+LONGEST_PIPELINED = 2_000  # bytes of a body
 BODIES = (0, 200, 5_000, 70_000, 300_000)
 BODY_WEIGHTS = (4, 4, 2, 1, 1)
 SIZES = (0, 1_000, 60_000, 200_000)
@@ -280,6 +281,8 @@
 
     async def _pipelines(self, node: int) -> None:
         wishes = [self._wish(node) for _ in range(self.rng.choice((2, 3, 5, 14)))]
+        for wish in wishes:  # more than the ingress's machine takes in waits on the client's, unseen by it
+            wish.body = wish.body[:LONGEST_PIPELINED]
         link = await self._connect(node)
         calls = [self._call(wish, node) for wish in wishes]
         if link is None:
--- a/fleetlab/soak/nodes.py
+++ b/fleetlab/soak/nodes.py
@@ -24,6 +24,7 @@
 READY = 60.0  # s for a process to listen
 KILL_AFTER = 3.7  # s from SIGTERM, as the platform does
 PORTS = (10_000, 32_000)  # under the range of outgoing connections
+STATES = ('"discovery told"', '"discovery call ended"', '"reload"', '"process"')
 LONGEST_LINE = 1024 * 1024
 
 
@@ -40,7 +41,7 @@
 
     def __init__(self, process: asyncio.subprocess.Process, node: int, admin: int) -> None:
         self.process, self.admin = process, admin
-        self.life = Life(node, time.monotonic(), arrived={}, ended={}, rules=[])
+        self.life = Life(node, time.monotonic(), arrived={}, ended={}, rules=[], states=[])
         self.ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.lines: list[str] = []  # what is no event
         self._log = asyncio.get_running_loop().create_task(self._follow())
@@ -68,9 +69,12 @@
                 case ("ended" | "refused"), str(id):
                     self.life.arrived.setdefault(id, event["at"] / 1e6)
                     self.life.ended.setdefault(id, []).append(event.get("reason", ""))
+        elif any(kind in text for kind in STATES):
+            self.life.states.append(text)
 
     def _line(self, line: str) -> None:
         self.lines.append(line)
+        self.life.states.append(f"{time.monotonic():.3f} {line}")
         if "rule " in line and "WARNING" in line:
             self.life.rules.append(line)
         self.life.tracebacks += line.startswith("Traceback")
@@ -103,6 +107,11 @@
             self.kill()
             await self.over()
 
+    def reload(self) -> None:
+        """SIGHUP, which does not come within the first second, nor before the process is ready."""
+        if self.life.ready_at and time.monotonic() - self.life.started_at > 1:
+            self.signal(signal.SIGHUP)
+
     async def hold_up(self, seconds: float) -> None:
         """It stands still, as when another takes its processor."""
         self.signal(signal.SIGSTOP)
--- a/fleetlab/soak/records.py
+++ b/fleetlab/soak/records.py
@@ -59,13 +59,20 @@
     ended_at: float = 0.0  # it got an error or a close; 0: neither
 
 
-class Told(msgspec.Struct):
-    """Discovery has written a change to a node: from then on the backend may get nothing new."""
+class Withdrawal(msgspec.Struct):
+    """Discovery has a backend as draining or removed, from `at` on."""
 
-    node: int
+    version: int
     backend: str
     at: float
-    by_deadline: bool = False  # counts as told, whether or not it was written
+
+
+class Written(msgspec.Struct):
+    """Discovery has written the list up to a version to a node."""
+
+    node: int
+    version: int
+    at: float
 
 
 class Life(msgspec.Struct):
@@ -82,6 +89,7 @@
     arrived: dict[str, float] = {}  # requests that it read, by id
     ended: dict[str, list[str]] = {}  # what it says became of them
     rules: list[str] = []  # violations that it counted itself
+    states: list[str] = []  # its own events about the list, the counter, reloads and its stop; its other log
     tracebacks: int = 0
     descriptors: int = 0  # at the end of a run, once all was quiet
     memory_mb: float = 0.0
@@ -103,6 +111,8 @@
     calls: list[Call]
     arrivals: list[Arrival]
     bad_peers: list[BadPeer]
-    told: list[Told]
+    withdrawals: list[Withdrawal]
+    written: list[Written]
+    silences: list[tuple[float, float]]  # in which discovery answered nobody, or turned callers away
     lives: list[Life]
     lag: dict[str, float]  # s by which a part of the test itself was late, at the most
--- a/fleetlab/worker.py
+++ b/fleetlab/worker.py
@@ -35,6 +35,7 @@
 class Worker:
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self._process = process
+        self._turn = asyncio.Lock()  # one question at a time: answers come in the order of questions
         self.pid = process.pid
 
     @classmethod
@@ -50,8 +51,8 @@
 
     async def ask(self, do: str, **what: Any) -> Any:
         assert self._process.stdin and self._process.stdout
-        self._process.stdin.write(json.dumps({"do": do} | what).encode() + b"\n")
-        async with asyncio.timeout(PATIENCE):
+        async with self._turn, asyncio.timeout(PATIENCE):
+            self._process.stdin.write(json.dumps({"do": do} | what).encode() + b"\n")
             line = await self._process.stdout.readline()
         if not line:
             raise WorkerError(f"{do}: the worker has ended")
