--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -195,6 +195,48 @@
     counter.stop()
 
 
+async def test_what_the_old_process_is_told_after_it_has_told_its_list_holds_in_the_new_one(
+    tmp_path: Path,
+) -> None:
+    """Discovery leaves the new process's watch unanswered, and goes on telling the old one."""
+    servers = [await PeerServer(answers(OK)).start() for _ in range(2)]
+    watches: list[Peer] = []
+
+    def agent_heard(peer: Peer) -> None:
+        if b"\r\n\r\n" in peer.data and not watches:
+            watches.append(peer)
+            peer.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+
+    agent = await PeerServer(agent_heard).start()
+    entries = [
+        {"name": f"s-{n}", "address": f"{HOST}:{server.port}", "status": "up"}
+        for n, server in enumerate(servers)
+    ]
+    path, known = tmp_path / "config.json", {"index": 4, "snapshot": True, "endpoints": entries}
+    path.write_text(json.dumps(config(known=known, discovery=f"{HOST}:{agent.port}")))
+    with socket.create_server((HOST, 0)) as held:
+        held.set_inheritable(True)
+        more = {"EDGE_LISTEN_FD": str(held.fileno()), "TMPDIR": str(tmp_path)}
+        old = start(path, (held.fileno(),), **more)
+        port = await asyncio.to_thread(listens, old)
+        _, kept = await asyncio.open_connection(HOST, port)  # the old process stays until it is closed
+        new = start(path, (held.fileno(),), **more)
+        await asyncio.to_thread(listens, new)
+        drains = {"index": 5, "snapshot": False, "endpoints": [entries[0] | {"status": "draining"}]}
+        line = json.dumps(drains).encode() + b"\n"
+        watches[0].transport.write(b"%x\r\n%b\r\n" % (len(line), line))
+        await asyncio.sleep(0.3)  # past the grace
+        for number in range(20):
+            assert b" 200 " in await ask(port, request(f"r{number}", Cookie=f"customer={number:016x}"))
+        kept.close()
+        for ran in (new, old):
+            ran.kill()
+            await asyncio.to_thread(ran.communicate)
+    assert not servers[0].peers and servers[1].peers
+    for server in (*servers, agent):
+        server.stop()
+
+
 async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
     """Both lines in one read: the call was carried out first, and then undone by the state before it."""
     listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
