Pass on to the new process of an upgrade what discovery tells the old one

Change: the old process passes each change on over the channel, and the new one takes what is newer than its list from the same discovery, before its own watch tells it. Whole lists are not passed on.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -10,7 +10,7 @@
 import os
 import signal
 import sys
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -27,7 +27,7 @@
 from ironledge.net.engine import Clock, Engine, Names
 from ironledge.net.handover import Handover
 from ironledge.net.http import Room
-from ironledge.net.listing import Listing, pack, skip
+from ironledge.net.listing import Entry, Listing, pack, skip
 from ironledge.net.maintenance import Maintenance
 from ironledge.net.retry import IN_FORCE
 from ironledge.net.sockets import CALLERS, Sockets
@@ -122,9 +122,18 @@
 class Sources:
     """The discovery and the counter in force, and the change to others at SIGHUP."""
 
-    def __init__(self, engine: Engine, maintenance: Maintenance, config: Config, index: int | None) -> None:
-        """`index`: the version of the list that is held, if one is."""
+    def __init__(
+        self,
+        engine: Engine,
+        maintenance: Maintenance,
+        config: Config,
+        index: int | None,
+        pass_on: Callable[[dict[str, Any]], None] = lambda change: None,
+    ) -> None:
+        """`index`: the version of the list that is held, if one is; `pass_on` is called with each change that
+        discovery tells, for another process of this ingress."""
         self._engine, self._listings, self._config = engine, maintenance, config
+        self._pass_on = pass_on
         self._discovery = self._new_discovery(config, index)
         self._counter = self._new_counter(config)
         self._next: Discovery | None = None  # asked for its list; the one in force is kept until it comes
@@ -183,8 +192,21 @@
             self._discovery.stop()
             self._discovery, self._next = by, None
         if by is self._discovery:
+            if not listing.whole:
+                packed = dict(listing.packed)  # as told: bans are laid over it next
+                self._pass_on({"discovery": list(by.address), "index": listing.index, "packed": packed})
             self._listings.listed(listing)
 
+    def listed_elsewhere(self, change: dict[str, Any]) -> None:
+        """A change as another process of this ingress passes it on, if it is of the same discovery."""
+        if tuple(change["discovery"]) == self._discovery.address:
+            listing = Listing({"index": int(change["index"]), "snapshot": False, "endpoints": []})
+            listing.packed = {
+                str(name): Entry.unpacked(str(name), packed).packed()
+                for name, packed in change["packed"].items()
+            }
+            self._discovery.told_elsewhere(listing)
+
     async def _change_counter(self, config: Config) -> None:
         """Calls go to the old one until the new one is connected, or the old one is about to close."""
         counter, old = self._new_counter(config), self._counter
@@ -237,6 +259,7 @@
         self.handover = Handover(self, config.shared) if upgradable else None
         self._leaving: asyncio.Task[None] | None = None
         self._told: Listing | None = None  # by the process that this one takes over from
+        self._changes: list[dict[str, Any]] = []  # of its list, until this one's sources are there
 
     async def start(self) -> None:
         """Operators are answered first, whatever else takes its time. Where another process serves, it goes
@@ -249,7 +272,12 @@
         known, self._told, self._known = self._told or self._known, None, None
         if known:
             self.maintenance.listed(known, it.ListKind.CACHED)
-        self.sources = Sources(self.engine, self.maintenance, config, known.index if known else None)
+        pass_on = self.handover.pass_on if self.handover else lambda change: None
+        index = known.index if known else None
+        self.sources = Sources(self.engine, self.maintenance, config, index, pass_on)
+        changes, self._changes = self._changes, []
+        for change in changes:
+            self.listed_elsewhere(change)
         await self.sources.listed(AGENT_WAIT)
         if told is not None and self.handover:
             await self.sources.counted(COUNTER_WAIT)
@@ -330,6 +358,15 @@
         else:
             self.maintenance.noted(str(note["backend"]), bool(note["out"]))
 
+    def listed_elsewhere(self, change: dict[str, Any]) -> None:
+        if self.sources is None:
+            self._changes.append(change)
+            return
+        try:
+            self.sources.listed_elsewhere(change)
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+            log.warning("handover: a change of the list cannot be read: %r", error)
+
     def _note(self, note: dict[str, Any]) -> None:
         if self.handover:
             self.handover.note(note)
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -37,6 +37,7 @@
         self.address, self.index, self._changed = address, index, changed
         self.directory = directory
         self._trace = trace or Trace()
+        self._elsewhere = 0  # the version that the other process of an upgrade was told last, if it counts
         self.heard = asyncio.Event()  # set once a list has been told
         self.retry = RetryPolicy(fleet_size, within)
         self._task: asyncio.Task[None] | None = None
@@ -48,7 +49,17 @@
         if self._task:
             self._task.cancel()
 
+    def told_elsewhere(self, listing: Listing) -> None:
+        """The other process of an upgrade has been told a change by the same discovery. The watch that is
+        open here may yet tell it, and those before it: they are passed over then."""
+        if self.index is not None and listing.index > self.index and not listing.whole:
+            self.told(listing)
+            self._elsewhere = listing.index
+
     def told(self, listing: Listing) -> None:
+        if not listing.whole and listing.index <= self._elsewhere:
+            return
+        self._elsewhere = 0
         kind = "whole list" if listing.whole else "change"
         self._trace.event("discovery told", kind, index=listing.index, entries=len(listing.packed))
         self.index = listing.index
--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -2,7 +2,9 @@
 
 JSON, a line a message. The new one asks `hello` and later `take`; each is answered once, `hello` after a
 `part` for each thousand backends. A `note` goes either way, for an operators' call that the other process
-must follow, too. The channel stays open while both live: its end tells each that the other is gone."""
+must follow, too; `listed` goes from the old one to the new one, for each change that discovery tells after
+`hello`: the new one's own watch may not be answered. The channel stays open while both live: its end tells
+each that the other is gone. A message of another kind is passed over."""
 
 from __future__ import annotations
 
@@ -46,6 +48,9 @@
     def noted(self, note: Message) -> None:
         """Operators called at the other process."""
 
+    def listed_elsewhere(self, change: Message) -> None:
+        """Discovery has told the other process a change of the list."""
+
     def shares(self, with_other: bool) -> None:
         """From now on another process holds descriptors, too, or no longer does."""
 
@@ -92,6 +97,8 @@
             self._handover.process.take_part(message["part"])
         elif "note" in message:
             self._handover.process.noted(message["note"])
+        elif "listed" in message:
+            self._handover.process.listed_elsewhere(message["listed"])
         elif "answer" in message and self._asked and not self._asked.done():
             if not isinstance(message["answer"], dict):
                 raise TypeError("an answer that is none")
@@ -127,6 +134,7 @@
         self.gave = False  # a new process has taken over here
         self._path = Path(directory, NAME)
         self._channel: Channel | None = None  # to the other process, if there is one
+        self._told_list = False  # it has been told the list by this one
         self._acceptor: Acceptor | None = None
         self._offer_again: asyncio.TimerHandle | None = None
 
@@ -189,6 +197,11 @@
         if self._channel:
             self._channel.tell({"note": note})
 
+    def pass_on(self, change: Message) -> None:
+        """A change of the list, to a process that has been told the list before it."""
+        if self._channel and self._told_list:
+            self._channel.tell({"listed": change})
+
     def asked(self, channel: Channel, what: str) -> Message:
         if self._channel not in (None, channel):
             raise ValueError("there is another process already")
@@ -197,6 +210,7 @@
             self.process.shares(with_other=True)
             for part in self.process.parts():
                 channel.tell({"part": part})
+            self._told_list = True
             return self.process.described()
         if what == "take" and not self.gave:
             self.gave = True
@@ -206,7 +220,7 @@
     def lost(self, channel: Channel) -> None:
         if channel is not self._channel:
             return
-        self._channel = None
+        self._channel, self._told_list = None, False
         self.process.shares(with_other=False)
         if self.gave:
             self.gave = False
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self.notes: list[dict[str, Any]] = []
         self.taken: list[dict[str, Any]] = []
+        self.changes: list[dict[str, Any]] = []
         self.shared: list[bool] = []
         self.given = self.alone = 0
         self.changed = asyncio.Event()
@@ -55,6 +56,9 @@
         self.notes.append(note)
         self.changed.set()
 
+    def listed_elsewhere(self, change: dict[str, Any]) -> None:
+        self.changes.append(change)
+
     def shares(self, with_other: bool) -> None:
         self.shared.append(with_other)
 
