Take from the old process of an upgrade only changes on top of the list that is held

Change: each change says which version it stands on, and lists of up to 10,000 backends are passed on whole.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -42,6 +42,7 @@
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
 RELOADED = 4.0  # s after SIGHUP: what the new discovery has to tell counts as told
+MOST_PASSED_ON = 10_000  # entries of a list: some 2 MB, to the other process of an upgrade
 LEAVE_COUNTER = 1.0  # s after SIGHUP: the old counter closes its connections after 1.5 s
 
 Address = tuple[str, int]
@@ -133,7 +134,7 @@
         """`index`: the version of the list that is held, if one is; `pass_on` is called with each change that
         discovery tells, for another process of this ingress."""
         self._engine, self._listings, self._config = engine, maintenance, config
-        self._pass_on = pass_on
+        self._pass_on, self._passed = pass_on, index
         self._discovery = self._new_discovery(config, index)
         self._counter = self._new_counter(config)
         self._next: Discovery | None = None  # asked for its list; the one in force is kept until it comes
@@ -192,20 +193,26 @@
             self._discovery.stop()
             self._discovery, self._next = by, None
         if by is self._discovery:
-            if not listing.whole:
+            after, self._passed = self._passed, listing.index
+            if len(listing.packed) <= MOST_PASSED_ON:
                 packed = dict(listing.packed)  # as told: bans are laid over it next
-                self._pass_on({"discovery": list(by.address), "index": listing.index, "packed": packed})
+                self._pass_on({
+                    "discovery": list(by.address), "index": listing.index, "after": after,
+                    "whole": listing.whole, "packed": packed,
+                })  # fmt: skip
             self._listings.listed(listing)
 
     def listed_elsewhere(self, change: dict[str, Any]) -> None:
-        """A change as another process of this ingress passes it on, if it is of the same discovery."""
+        """What another process of this ingress passes on, if it was told by the same discovery."""
         if tuple(change["discovery"]) == self._discovery.address:
-            listing = Listing({"index": int(change["index"]), "snapshot": False, "endpoints": []})
+            raw = {"index": int(change["index"]), "snapshot": bool(change["whole"]), "endpoints": []}
+            listing = Listing(raw)
             listing.packed = {
                 str(name): Entry.unpacked(str(name), packed).packed()
                 for name, packed in change["packed"].items()
             }
-            self._discovery.told_elsewhere(listing)
+            after = change["after"]
+            self._discovery.told_elsewhere(listing, None if after is None else int(after))
 
     async def _change_counter(self, config: Config) -> None:
         """Calls go to the old one until the new one is connected, or the old one is about to close."""
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -49,10 +49,13 @@
         if self._task:
             self._task.cancel()
 
-    def told_elsewhere(self, listing: Listing) -> None:
-        """The other process of an upgrade has been told a change by the same discovery. The watch that is
-        open here may yet tell it, and those before it: they are passed over then."""
-        if self.index is not None and listing.index > self.index and not listing.whole:
+    def told_elsewhere(self, listing: Listing, after: int | None) -> None:
+        """The other process of an upgrade has been told this by the same discovery, a change on top of the
+        version `after`. One that is not on top of what is held here would hide what lies between. The watch
+        that is open here may yet tell it, and those before it: they are passed over then."""
+        if self.index is None or listing.index <= self.index:
+            return
+        if listing.whole or (after is not None and after <= self.index):
             self.told(listing)
             self._elsewhere = listing.index
 
--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -2,8 +2,8 @@
 
 JSON, a line a message. The new one asks `hello` and later `take`; each is answered once, `hello` after a
 `part` for each thousand backends. A `note` goes either way, for an operators' call that the other process
-must follow, too; `listed` goes from the old one to the new one, for each change that discovery tells after
-`hello`: the new one's own watch may not be answered. The channel stays open while both live: its end tells
+must follow, too; `listed` goes from the old one to the new one, for each list or change that discovery tells
+after `hello`: the new one's own watch may not be answered. The channel stays open while both live: its end tells
 each that the other is gone. A message of another kind is passed over."""
 
 from __future__ import annotations
@@ -198,7 +198,7 @@
             self._channel.tell({"note": note})
 
     def pass_on(self, change: Message) -> None:
-        """A change of the list, to a process that has been told the list before it."""
+        """A list or a change of it, to a process that has been told the list before it."""
         if self._channel and self._told_list:
             self._channel.tell({"listed": change})
 
--- a/tests/test_net_watch.py
+++ b/tests/test_net_watch.py
@@ -341,3 +341,24 @@
     ingress.listener.stop()
     ingress.backends.stop()
     ingress.admin.stop()
+
+
+# What another process of the same ingress was told.
+
+
+async def test_a_change_from_the_other_process_counts_only_on_top_of_what_is_held() -> None:
+    """One that skips versions would hide what lies between; one that the watch tells again is passed over."""
+    heard: list[Listing] = []
+    made = Discovery((HOST, 1), 4, heard.append)
+    made.told_elsewhere(Listing(told(7, False, a="draining")), after=6)
+    made.told_elsewhere(Listing(told(4, False, a="draining")), after=3)
+    made.told_elsewhere(Listing(told(9, False, a="draining")), after=None)
+    assert not heard and made.index == 4
+    made.told_elsewhere(Listing(told(5, False, a="up")), after=4)
+    made.told_elsewhere(Listing(told(6, False, a="draining")), after=5)
+    made.told(Listing(told(5, False, a="up")))  # by the watch that was open all the time
+    made.told(Listing(told(6, False, a="draining")))
+    made.told(Listing(told(7, False, b="draining")))
+    assert [listing.index for listing in heard] == [5, 6, 7] and made.index == 7
+    made.told_elsewhere(Listing(told(12, True, a="up")), after=11)
+    assert heard[-1].index == 12 and heard[-1].whole
