--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -2,9 +2,9 @@
 
 JSON, a line a message. The new one asks `hello` and later `take`; each is answered once, `hello` after a
 `part` for each thousand backends. A `note` goes either way, for an operators' call that the other process
-must follow, too; `listed` goes from the old one to the new one, for each list or change that discovery tells
-after `hello`: the new one's own watch may not be answered. The channel stays open while both live: its end tells
-each that the other is gone. A message of another kind is passed over."""
+must follow, too. `listed` goes from the old one to the new one, for what discovery tells after `hello`: the
+new one's own watch may not be answered. The channel stays open while both live: its end tells each that the
+other is gone. A message of another kind is passed over."""
 
 from __future__ import annotations
 
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -17,11 +17,13 @@
 import pytest
 
 from fleetlab.faults import Call, Faults, build
+from fleetlab.soak.nodes import free_port
 from ironledge import interface as it
 from ironledge.__main__ import Ingress, read_config
 from ironledge.brain import CARRIED, Gateway, count_name
 from ironledge.net.engine import Engine, Names
 from ironledge.net.handover import NAME, Handover
+from ironledge.net.listing import Entry
 from ironledge.net.maintenance import Maintenance
 from ironledge.net.sockets import Sockets
 from tests.net_helpers import HOST, OK, RAW, SETTINGS, Peer, PeerServer, answers, entry, read_answer, request
@@ -241,6 +243,50 @@
         server.stop()
 
 
+@pytest.mark.parametrize("slow", [0.0, 0.5])
+async def test_operators_are_answered_rightly_by_a_process_that_has_not_heard_of_its_list_yet(
+    tmp_path: Path, slow: float
+) -> None:
+    """The other process takes its time to tell the list and the bans: a listed backend was unknown, and a call
+    that came before them would have been undone by them."""
+    state = {"listed": {"index": 1, "count": 1}, "out": [], "back": {}, "gone": [], "drained": False}
+    listed = {"name": "a", "address": f"{HOST}:1", "status": "up"}
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readline():
+            await asyncio.sleep(slow)
+            lines = {"part": {"a": Entry(listed).packed()}}, {"answer": state}
+            writer.write(b"".join(json.dumps({"version": 1} | line).encode() + b"\n" for line in lines))
+
+    server = await asyncio.start_unix_server(answer, tmp_path / NAME)
+    path, admin = tmp_path / "config.json", free_port()
+    path.write_text(json.dumps(config(admin=f"{HOST}:{admin}")))
+    with socket.create_server((HOST, 0)) as held:
+        held.set_inheritable(True)
+        ran = start(path, (held.fileno(),), EDGE_LISTEN_FD=str(held.fileno()), TMPDIR=str(tmp_path))
+        called = time.monotonic()
+        while True:  # as soon as it takes calls
+            try:
+                taken = await operators_call(admin, "POST /control/backends/a/offline")
+                break
+            except OSError:
+                await asyncio.sleep(0.005)
+        assert time.monotonic() - called < slow + 1.5 and taken == 200
+        assert await operators_call(admin, "POST /control/backends/b/offline") == 404
+        assert await operators_call(admin, "POST /control/backends/a/online") == 200
+        ran.kill()
+        await asyncio.to_thread(ran.communicate)
+    server.close()
+
+
+async def operators_call(port: int, line: str) -> int:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(f"{line} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+    status = int((await read_answer(reader)).split(b" ")[1])
+    writer.close()
+    return status
+
+
 async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
     """Both lines in one read: the call was carried out first, and then undone by the state before it."""
     listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
