Hold operators' calls at a start until the list and the bans are known

A listed backend got 404, and a ban or a drain would have been undone by what the other process tells next.

Change: calls but for readiness wait for the list, 0.7 s at the longest; their answer is owed in 1 s. With an old process that takes 0.5 s: 404 -> 200.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -285,6 +285,7 @@
         changes, self._changes = self._changes, []
         for change in changes:
             self.listed_elsewhere(change)
+        self.admin.list_known()
         await self.sources.listed(AGENT_WAIT)
         if told is not None and self.handover:
             await self.sources.counted(COUNTER_WAIT)
--- a/ironledge/net/admin.py
+++ b/ironledge/net/admin.py
@@ -13,6 +13,8 @@
 from ironledge.net.acceptor import Acceptor, listening_socket
 from ironledge.net.http import HttpConnection, Message, Room
 
+LIST_WAIT = 0.7  # s that a call waits at a start until the list and the bans in force are known
+READY = b"/control/ready"
 HOLDS = 3.0  # s for a call to come whole: its answer is owed in 1 s, so nobody who means one takes longer
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -38,6 +40,8 @@
         self.controls, self.most = controls, most
         self.callers: dict[Caller, asyncio.TimerHandle] = {}  # the longest held first
         self._acceptor: Acceptor | None = None
+        self._list_known = False
+        self._held: list[Callable[[], None]] = []  # calls that wait for that
 
     async def listen(self, host: str, port: int) -> int:
         listening = await listening_socket(host, port)
@@ -64,6 +68,27 @@
         if timer := self.callers.pop(caller, None):
             timer.cancel()
 
+    def list_known(self) -> None:
+        """The list and the bans of the process that this one takes over from, if any, are known now."""
+        self._list_known = True
+        held, self._held = self._held, []
+        for answer in held:
+            answer()
+
+    def called(self, caller: Caller, method: bytes, target: bytes) -> None:
+        """Before the list is known a backend in it would get a no, and what a call changes would be undone by
+        what the other process tells: such a call waits, but not beyond its time."""
+
+        def answer() -> None:
+            if caller in self.callers:
+                caller.answer(*self.carry_out(method, target))
+
+        if self._list_known or target == READY:
+            answer()
+        else:
+            self._held.append(answer)
+            asyncio.get_running_loop().call_later(LIST_WAIT, answer)
+
     def carry_out(self, method: bytes, target: bytes) -> tuple[int, str]:
         parts = target.decode("ascii", "replace").split("/")
         calls: dict[tuple[str, ...], tuple[bytes, Callable[[], tuple[int, str]]]] = {
@@ -115,7 +140,7 @@
         if message.body.long:
             self.answer(413, "a call has no body")
         elif message.body.whole and self in self._admin.callers:
-            self.answer(*self._admin.carry_out(message.method, message.target))
+            self._admin.called(self, message.method, message.target)
 
     def garbage(self, status: int) -> None:
         self.answer(status, "not understood")
--- a/tests/test_net_admin.py
+++ b/tests/test_net_admin.py
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         self.controls = Asked()
         self.admin = Admin(self.controls, 3)
+        self.admin.list_known()
 
     async def call(self, line: str) -> int:
         reader, writer = await asyncio.open_connection(HOST, self.port)
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -247,8 +247,8 @@
 async def test_operators_are_answered_rightly_by_a_process_that_has_not_heard_of_its_list_yet(
     tmp_path: Path, slow: float
 ) -> None:
-    """The other process takes its time to tell the list and the bans: a listed backend was unknown, and a call
-    that came before them would have been undone by them."""
+    """The other process takes its time to tell the list and the bans: a listed backend was unknown, and a
+    call that came before them would have been undone by them."""
     state = {"listed": {"index": 1, "count": 1}, "out": [], "back": {}, "gone": [], "drained": False}
     listed = {"name": "a", "address": f"{HOST}:1", "status": "up"}
 
