--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -2,8 +2,8 @@
 
 JSON, a line a message. The new one asks `hello` and later `take`; each is answered once, `hello` after a
 `part` for each thousand backends. A `note` goes either way, for an operators' call that the other process
-must follow, too. `listed` goes from the old one to the new one, for what discovery tells after `hello`: the
-new one's own watch may not be answered. The channel stays open while both live: its end tells each that the
+must follow, too, and so does `listed`, for what discovery tells after `hello`: the other one's own watch may
+not be answered. The channel stays open while both live: its end tells each that the
 other is gone. A message of another kind is passed over."""
 
 from __future__ import annotations
@@ -150,7 +150,9 @@
             return None
         self._channel = channel
         self.process.shares(with_other=True)
-        return await self._ask("hello", take)
+        described = await self._ask("hello", take)
+        self._told_list = described is not None
+        return described
 
     async def take(self) -> Message | None:
         """What the other's module has learned; from here on it accepts no more."""
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -60,6 +60,7 @@
 
     def listed_elsewhere(self, change: dict[str, Any]) -> None:
         self.changes.append(change)
+        self.changed.set()
 
     def shares(self, with_other: bool) -> None:
         self.shared.append(with_other)
@@ -90,6 +91,10 @@
     await old.until(lambda: old.notes == [{"backend": "a", "out": True}])
     serving.note({"drain": True})
     await new.until(lambda: new.notes == [{"drain": True}])
+    coming.pass_on({"index": 7})  # what discovery tells either of them
+    await old.until(lambda: old.changes == [{"index": 7}])
+    serving.pass_on({"index": 8})
+    await new.until(lambda: new.changes == [{"index": 8}])
     coming.offer()  # for the next one, under the same name
     third = Handover(Process(), str(tmp_path))
     serving.stop()
