--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -41,6 +41,7 @@
 AGENT_WAIT = 0.3  # s that a start waits for the list: the agent on this machine has it at once, or is silent
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
+CLOSED_WITHIN = 0.03  # s in which the loop has ended what was closed last
 RELOADED = 4.0  # s after SIGHUP: what the new discovery has to tell counts as told
 MOST_PASSED_ON = 10_000  # entries of a list: some 2 MB, to the other process of an upgrade
 LEAVE_COUNTER = 1.0  # s after SIGHUP: the old counter closes its connections after 1.5 s
@@ -252,7 +253,7 @@
         loop, gateway = asyncio.get_running_loop(), Gateway(config.settings, config.seed)
         self.trace = Trace.from_environment()
         self.engine = Engine(gateway, config.settings, names, loop, clock.now, self.trace)
-        room = Room(config.memory_mb)
+        self.room = room = Room(config.memory_mb)
         size, wait = config.settings.fleet_size, limits.connect_timeout
         self.backends = Backends(sockets.backends, config.conn_idle, wait, room, size, self.trace)
         self.engine.servers = self.backends
@@ -312,9 +313,22 @@
         self.listener.stop()
         if self.handover:
             self.handover.stop()
+        await self._check_nothing_left()
         self.trace.event("process", "ended")
         log.info("counts: %s", self.trace.summary())
 
+    async def _check_nothing_left(self) -> None:
+        """Every request and connection has been ended: what still counts as open was leaked on the way."""
+        counts: dict[str, Callable[[], int]] = {
+            "requests": lambda: self.engine.held, "client connections": lambda: self.sockets.clients.open,
+            "backend connections": lambda: self.sockets.backends.open, "bytes": lambda: self.room.held,
+        }  # fmt: skip
+        end = asyncio.get_running_loop().time() + CLOSED_WITHIN
+        while any(count() for count in counts.values()) and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0)
+        if left := {name: count() for name, count in counts.items() if count()}:
+            self.trace.violation("left behind", **left)
+
     # The other process, at an upgrade.
 
     def _take_up(self, told: dict[str, Any]) -> None:
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -366,6 +366,11 @@
             return
         self._gateway.take_up(it.Carried(usual, typical, more, congestion, tuple(accounts), tuple(backends)))
 
+    @property
+    def held(self) -> int:
+        """Requests that are not forgotten: not answered, or with an attempt still out."""
+        return len(self._requests)
+
     @property
     def can_send(self) -> bool:
         """Some backend would take a request."""
