Tell a protocol whose connection is given up as it comes up that it has ended

Change: net/dial.py is the one way in which the counter and discovery are dialled, and tells the protocol.

--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -11,6 +11,7 @@
 from typing import cast
 
 from ironledge.interface import Outcome
+from ironledge.net.dial import dial
 from ironledge.net.sockets import BackOff
 
 LINES = 3  # of the 32 connections that the counter holds for an ingress
@@ -122,14 +123,12 @@
         self._homes[name] = call
 
     async def _keep_connected(self) -> None:
-        loop, tries = asyncio.get_running_loop(), BackOff(*BACK_OFF)
+        tries = BackOff(*BACK_OFF)
         while True:
+            line = CounterLine(self.timeout, self._progress)
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
-                    _, line = await loop.create_connection(
-                        lambda: CounterLine(self.timeout, self._progress), *self.address
-                    )
-            except OSError:  # TimeoutError is one
+                await dial(line, self.address, CONNECT_TIMEOUT)
+            except OSError:
                 pass
             else:
                 self._lines.append(line)
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -5,11 +5,11 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from functools import partial
 from typing import cast
 
 import httptools
 
+from ironledge.net.dial import dial
 from ironledge.net.directory import Directory
 from ironledge.net.http import MAX_HEAD
 from ironledge.net.listing import Document, Line, Listing
@@ -74,17 +74,16 @@
         while True:
             ended = Ended.CUT
             retry.calls(loop.time())
+            watch = Watch(self, whole)
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
-                    made = loop.create_connection(partial(Watch, self, whole), *self.address)
-                    transport, watch = await made
-            except OSError:  # TimeoutError is one
+                await dial(watch, self.address, CONNECT_TIMEOUT)
+            except OSError:
                 pass
             else:
                 try:
                     await watch.closed.wait()
                 finally:
-                    transport.abort()
+                    watch.transport.abort()
                 ended = watch.ended
                 if watch.heard:
                     retry.well(ended)
