--- a/tests/test_net_last_answers.py
+++ b/tests/test_net_last_answers.py
@@ -89,3 +89,20 @@
     assert await statuses(reader, 2) == [b"200"] * 2
     assert await reader.read() == b""
     writer.close()
+
+
+async def test_a_connection_that_has_just_come_up_makes_room_last(ingress: Ingress) -> None:
+    """Its first request is on its way: one that rests between requests goes before it."""
+    resting = await asyncio.open_connection(HOST, ingress.port)
+    resting[1].write(request("r0"))
+    assert await statuses(resting[0], 1) == [b"200"]
+    fresh = await asyncio.open_connection(HOST, ingress.port)
+    async with asyncio.timeout(5):
+        while not ingress.listener.new:
+            await asyncio.sleep(0)
+    assert ingress.listener._evict()
+    assert await resting[0].read() == b""
+    fresh[1].write(request("r1"))
+    assert await statuses(fresh[0], 1) == [b"200"]
+    for _, writer in (resting, fresh):
+        writer.close()
