Close resting connections before a few that have just come up

Change: up to four silent connections younger than 0.25 s go last; a crowd of silent ones goes first, as before.

--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -38,6 +38,8 @@
 SWEEP = 0.25  # s between looks for such connections
 LEFT_LOOK = 0.1  # s between looks whether a client that is not being read has left
 STALLED = 0.7  # s without a byte more of a head, after which it may make room: the slow send on, in pieces
+YOUNG = 250_000  # us from connecting in which the first request of an honest client is on its way
+FEW_SILENT = 4  # connections that have said nothing yet: as many may well be honest ones
 TURN = 0.01  # s between looks for room, at the end
 QUEUED = 8  # requests on one connection that wait for the answer to the one before; no more is read meanwhile
 REASONS = {
@@ -304,20 +306,22 @@
 
     def _evict(self) -> bool:
         """Those that have had their last answer go first, then those that say nothing, those that stopped in
-        the middle of a head, and the longest idle; with a request unread, none of these."""
+        the middle of a head, and the longest idle; with a request unread, none of these. Of one that has just
+        come up the request is on its way: a few of those go last, a crowd of them does not."""
         if self.lingering:
             longest = next(iter(self.lingering))
             del self.lingering[longest]
             longest.abort(CloseReason.LINGERED)
             return True
-        if any(c.close_if_quiet(CloseReason.EVICTED) for c in list(self.new)):
+        silent = list(self.new) if len(self.new) > FEW_SILENT else _older(self.new, self.now() - YOUNG)
+        if any(c.close_if_quiet(CloseReason.EVICTED) for c in silent):
             return True
         before = self.now() - int(STALLED * 1e6)
         stopped = (c for held in (self.new, self.begun) for c in held if c.stalled(before))
         if (connection := next(stopped, None)) is not None:
             connection.leave()
             return True
-        return any(c.close_if_quiet(CloseReason.EVICTED) for c in list(self.idle))
+        return any(c.close_if_quiet(CloseReason.EVICTED) for c in (*self.idle, *self.new))
 
 
 def _older(held: dict[ClientConnection, int], than: int) -> list[ClientConnection]:
