--- a/tests/test_net_main.py
+++ b/tests/test_net_main.py
@@ -143,6 +143,26 @@
         peer.transport.write(b"ok 1\r\n" if call.startswith(b"add ") else b"pong\r\n")
 
 
+async def test_a_configuration_that_cannot_be_read_for_a_moment_is_read_after_it(tmp_path: Path) -> None:
+    """Nobody sends a second signal: the old discovery would be the process's for good."""
+    agents = [await PeerServer(as_discovery(5)).start() for _ in range(2)]
+    files = [json.dumps(config(discovery=f"{HOST}:{agent.port}")) for agent in agents]
+    path = tmp_path / "config.json"
+    path.write_text(files[0])
+    ran = start(path)
+    await asyncio.to_thread(listens, ran)
+    path.unlink()
+    ran.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.4)
+    path.write_text(files[1])
+    await agents[1].until(lambda: bool(agents[1].watched))
+    ran.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.to_thread(ran.communicate, timeout=60)
+    assert ran.returncode == 0 and "Traceback" not in errors
+    for agent in agents:
+        agent.stop()
+
+
 async def test_sighup_changes_discovery_and_counter_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     servers = [await PeerServer(answers(OK)).start() for _ in range(2)]
     addresses = [f"{HOST}:{server.port}" for server in servers]
