Try a configuration that can't be read once more, at a reload and for descriptors at a start

Copying an inherited socket failed a start for one ENFILE.

Change: an unreadable file is tried each 0.1 s for 3 s (what the new discovery tells counts after 4 s); one that is read and makes no sense is refused at once, as before. A copy of an inherited socket is tried as a new one is.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -44,6 +44,8 @@
 CLOSED_WITHIN = 0.03  # s in which the loop has ended what was closed last
 RELOADED = 4.0  # s after SIGHUP: what the new discovery has to tell counts as told
 MOST_PASSED_ON = 10_000  # entries of a list: some 2 MB, to the other process of an upgrade
+REREAD_AFTER = 0.1  # s from one try at a configuration that cannot be read to the next ...
+REREAD_WITHIN = 3.0  # ... and in which they are made
 LEAVE_COUNTER = 1.0  # s after SIGHUP: the old counter closes its connections after 1.5 s
 
 Address = tuple[str, int]
@@ -51,7 +53,11 @@
 
 
 class ConfigError(Exception):
-    pass
+    """The configuration makes no sense."""
+
+
+class UnreadableError(ConfigError):
+    """The file could not be read; it may be the next moment."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +117,9 @@
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from None
-    except (OSError, ValueError, TypeError, AttributeError, WireError) as error:
+    except OSError as error:
+        raise UnreadableError(str(error)) from None
+    except (ValueError, TypeError, AttributeError, WireError, RecursionError) as error:
         raise ConfigError(str(error)) from None
 
 
@@ -139,6 +147,7 @@
         self._discovery = self._new_discovery(config, index)
         self._counter = self._new_counter(config)
         self._next: Discovery | None = None  # asked for its list; the one in force is kept until it comes
+        self._reread: asyncio.TimerHandle | None = None
         self._change: asyncio.Task[None] | None = None
         self._retiring: set[asyncio.Task[None]] = set()
         engine.counter = self._counter
@@ -168,10 +177,23 @@
         if self._counter:
             await _within(within, self._counter.connected)
 
-    def reload(self, path: str) -> None:
-        trace = self._engine.trace
+    def reload(self, path: str, until: float | None = None) -> None:
+        """`until`: the moment of the loop's clock up to which a file that cannot be read is tried again;
+        None: this is the first try."""
+        trace, loop = self._engine.trace, asyncio.get_running_loop()
+        until = until or loop.time() + REREAD_WITHIN
+        if self._reread:
+            self._reread.cancel()
+            self._reread = None
         try:
             config = read_config(path, {}, again=True)
+        except UnreadableError as error:
+            trace.event("reload", "unreadable", error=str(error))
+            if loop.time() < until:
+                self._reread = loop.call_later(REREAD_AFTER, self.reload, path, until)
+            else:
+                log.warning("configuration not read anew, the old one stays: %s", error)
+            return
         except ConfigError as error:
             trace.event("reload", "not read")
             log.warning("configuration not read anew, the old one stays: %s", error)
@@ -232,6 +254,8 @@
             task.add_done_callback(self._retiring.discard)
 
     def stop(self) -> None:
+        if self._reread:
+            self._reread.cancel()
         for task in (self._change, *self._retiring):
             if task:
                 task.cancel()
--- a/ironledge/net/acceptor.py
+++ b/ironledge/net/acceptor.py
@@ -19,6 +19,7 @@
 import asyncio
 import errno
 import logging
+import os
 import socket
 from collections.abc import Callable
 from enum import Enum, auto
@@ -36,13 +37,15 @@
 log = logging.getLogger(__name__)
 
 
-async def listening_socket(host: str, port: int) -> socket.socket:
-    """Bound and listening; OSError if it can't be had, in LISTEN_WITHIN where only descriptors or memory are
-    short."""
+async def listening_socket(host: str, port: int, inherited: int | None = None) -> socket.socket:
+    """Bound and listening, or a copy of the descriptor that is inherited; OSError if it can't be had, in
+    LISTEN_WITHIN where only descriptors or memory are short."""
     loop = asyncio.get_running_loop()
     end = loop.time() + LISTEN_WITHIN
     while True:
         try:
+            if inherited is not None:
+                return socket.socket(fileno=os.dup(inherited))
             return socket.create_server((host, port), backlog=BACKLOG)
         except OSError as error:
             if error.errno not in SHORTAGE or loop.time() > end:
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import os
 import re
 import socket
 from collections import deque
@@ -193,10 +192,7 @@
     async def listen(self, host: str, port: int, inherited: int | None = None) -> int:
         """`inherited`: the descriptor of a socket that listens already and that others hold, too. This is a
         copy of it: closing it ends nothing for them."""
-        if inherited is None:
-            listening = await listening_socket(host, port)
-        else:
-            listening = socket.socket(fileno=os.dup(inherited))
+        listening = await listening_socket(host, port, inherited)
         self._acceptor = Acceptor(listening, self._connected, self._has_place, inherited is not None)
         self._acceptor.start()
         self._tick()
