--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -292,6 +292,27 @@
     return status
 
 
+async def test_a_process_that_has_handed_over_stays_until_its_successor_has_stood_for_a_while(
+    tmp_path: Path,
+) -> None:
+    """With nothing left to answer it ended at once; a successor that died then left nobody to serve."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    with socket.create_server((HOST, 0)) as held:
+        held.set_inheritable(True)
+        more = {"EDGE_LISTEN_FD": str(held.fileno()), "TMPDIR": str(tmp_path)}
+        old = start(path, (held.fileno(),), **more)
+        port = await asyncio.to_thread(listens, old)
+        new = start(path, (held.fileno(),), **more)
+        await asyncio.to_thread(listens, new)
+        await asyncio.sleep(0.2)
+        new.kill()
+        await asyncio.to_thread(new.communicate)
+        assert (await ask(port, UP)).startswith(b"HTTP/1.1 200 ")  # by the old one
+        old.kill()
+        await asyncio.to_thread(old.communicate)
+
+
 async def test_an_operators_call_right_behind_the_answer_holds_in_the_new_process(tmp_path: Path) -> None:
     """Both lines in one read: the call was carried out first, and then undone by the state before it."""
     listing = {"index": 1, "snapshot": True, "endpoints": [{"name": "a", "address": ":1", "status": "up"}]}
