Stay for a second after a hand-over, so that a successor that dies leaves one to serve

Change: it stays for 1 s in any case; SIGTERM ends it as before. In the test nobody answered, now the old process does.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -41,6 +41,7 @@
 AGENT_WAIT = 0.3  # s that a start waits for the list: the agent on this machine has it at once, or is silent
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
+STAYS = 1.0  # s that a process that has handed over is there to serve again; SIGTERM ends it before
 CLOSED_WITHIN = 0.03  # s in which the loop has ended what was closed last
 RELOADED = 4.0  # s after SIGHUP: what the new discovery has to tell counts as told
 MOST_PASSED_ON = 10_000  # entries of a list: some 2 MB, to the other process of an upgrade
@@ -380,6 +381,8 @@
         return self.engine.hand_over()
 
     async def _leave(self) -> None:
+        """Stays for a while in any case: a successor may die of what its start did not show."""
+        await asyncio.sleep(STAYS)
         while self.engine.open or self.listener.connections:
             await asyncio.sleep(LOOK)
         log.info("handover: nothing is left")
