--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -41,9 +41,12 @@
 AGENT_WAIT = 0.3  # s that a start waits for the list: the agent on this machine has it at once, or is silent
 COUNTER_WAIT = 0.5  # s that a start waits for its first connection to the counter, while another still serves
 LOOK = 0.01  # s between looks whether anything is left, at the end
+STAYS = 1.0  # s that a process that has handed over is there to serve again; SIGTERM ends it before
 CLOSED_WITHIN = 0.03  # s in which the loop has ended what was closed last
 RELOADED = 4.0  # s after SIGHUP: what the new discovery has to tell counts as told
 MOST_PASSED_ON = 10_000  # entries of a list: some 2 MB, to the other process of an upgrade
+REREAD_AFTER = 0.1  # s from one try at a configuration that cannot be read to the next ...
+REREAD_WITHIN = 3.0  # ... and in which they are made
 LEAVE_COUNTER = 1.0  # s after SIGHUP: the old counter closes its connections after 1.5 s
 
 Address = tuple[str, int]
@@ -51,7 +54,11 @@
 
 
 class ConfigError(Exception):
-    pass
+    """The configuration makes no sense."""
+
+
+class UnreadableError(ConfigError):
+    """The file could not be read; it may be the next moment."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +118,9 @@
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from None
-    except (OSError, ValueError, TypeError, AttributeError, WireError) as error:
+    except OSError as error:
+        raise UnreadableError(str(error)) from None
+    except (ValueError, TypeError, AttributeError, WireError, RecursionError) as error:
         raise ConfigError(str(error)) from None
 
 
@@ -139,6 +148,7 @@
         self._discovery = self._new_discovery(config, index)
         self._counter = self._new_counter(config)
         self._next: Discovery | None = None  # asked for its list; the one in force is kept until it comes
+        self._reread: asyncio.TimerHandle | None = None
         self._change: asyncio.Task[None] | None = None
         self._retiring: set[asyncio.Task[None]] = set()
         engine.counter = self._counter
@@ -168,10 +178,23 @@
         if self._counter:
             await _within(within, self._counter.connected)
 
-    def reload(self, path: str) -> None:
-        trace = self._engine.trace
+    def reload(self, path: str, until: float | None = None) -> None:
+        """`until`: the moment of the loop's clock up to which a file that cannot be read is tried again;
+        None: this is the first try."""
+        trace, loop = self._engine.trace, asyncio.get_running_loop()
+        until = until or loop.time() + REREAD_WITHIN
+        if self._reread:
+            self._reread.cancel()
+            self._reread = None
         try:
             config = read_config(path, {}, again=True)
+        except UnreadableError as error:
+            trace.event("reload", "unreadable", error=str(error))
+            if loop.time() < until:
+                self._reread = loop.call_later(REREAD_AFTER, self.reload, path, until)
+            else:
+                log.warning("configuration not read anew, the old one stays: %s", error)
+            return
         except ConfigError as error:
             trace.event("reload", "not read")
             log.warning("configuration not read anew, the old one stays: %s", error)
@@ -232,6 +255,8 @@
             task.add_done_callback(self._retiring.discard)
 
     def stop(self) -> None:
+        if self._reread:
+            self._reread.cancel()
         for task in (self._change, *self._retiring):
             if task:
                 task.cancel()
@@ -356,6 +381,8 @@
         return self.engine.hand_over()
 
     async def _leave(self) -> None:
+        """Stays for a while in any case: a successor may die of what its start did not show."""
+        await asyncio.sleep(STAYS)
         while self.engine.open or self.listener.connections:
             await asyncio.sleep(LOOK)
         log.info("handover: nothing is left")
