--- a/fleetlab/soak/clients.py
+++ b/fleetlab/soak/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+import weakref
 from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -157,6 +158,7 @@
         self.bad: list[BadPeer] = []
         self.lag = 0.0
         self._idle: dict[int, list[Link]] = {node: [] for node in range(len(ports))}
+        self._links = {node: weakref.WeakSet[Link]() for node in range(len(ports))}
         self._tasks: set[asyncio.Task[None]] = set()
         self._number = 0
         self._ways: list[tuple[Callable[[int], Coroutine[Any, Any, None]], float]] = [
@@ -193,6 +195,19 @@
             if link:
                 link.transport.close()
 
+    def leave(self, node: int) -> None:
+        """All clients of a node that wait for an answer go at once."""
+        for link in list(self._links[node]):
+            if not link.open or link.transport.is_closing():
+                continue
+            now = time.monotonic()
+            for call, _, done in link.open:
+                call.ending, call.ended_at = Ending.LEFT, now
+                if not done.done():
+                    done.set_result(None)
+            link.open.clear()
+            reset(link.transport) if self.rng.random() < 0.5 else link.transport.close()
+
     def _start(self, what: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(what)
         self._tasks.add(task)
@@ -216,6 +231,7 @@
             async with asyncio.timeout(3.0):
                 made = asyncio.get_running_loop().create_connection(Link, HOST, self.ports[node])
                 _, link = await made
+                self._links[node].add(link)
                 return link
         except OSError:
             return None
@@ -384,6 +400,9 @@
     async def crowd(self, node: int, count: int, seconds: float) -> None:
         self._clients._start(self._clients.crowd(node, count, seconds))
 
+    def leave(self, node: int) -> None:
+        self._clients.leave(node)
+
     async def told(self) -> dict[str, Any]:
         """Once all has ended."""
         await self._running
--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -177,6 +177,19 @@
                 for counter in self.counters:
                     for caller in list(counter.callers):
                         caller.transport.abort()
+            case "counter spoilt":
+                for counter in self.counters:
+                    counter.spoilt = self.rng.choice((0.05, 0.5))
+                await asyncio.sleep(seconds)
+                for counter in self.counters:
+                    counter.spoilt = 0.0
+            case "drain node":
+                process = node.process
+                await process.call("/control/out-of-service")
+                await asyncio.sleep(seconds)
+                await process.call("/control/in-service")
+            case "clients leave":
+                await self.clients.ask("leave", node=trouble.target)
             case "system calls":
                 await self._system_calls(node, seconds)
             case "wall clock":
--- a/fleetlab/standins/counter.py
+++ b/fleetlab/standins/counter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 import zlib
 from collections import Counter as Tally
 from collections import deque
@@ -45,6 +46,8 @@
         self.capacity, self.queue = capacity, queue
         self.callers: set[Line] = set()
         self.silent = False
+        self.spoilt = 0.0  # the part of the answers that hold no number
+        self.rng = random.Random(1)
         self.adds = self.pings = self.busy = self.reset = self.received = 0  # received: bytes
         self.by_address: Tally[tuple[str, str]] = Tally()
 
@@ -73,6 +76,8 @@
             part.free_at = due
         self.adds += 1
         total = part.add(name, amount, min(life, LONGEST_LIFE) / 1000, now)
+        if self.spoilt and self.rng.random() < self.spoilt:
+            return b"ok ?\r\n", due
         return b"ok %.7g\r\n" % total if math.isfinite(total) else b"error\r\n", due
 
     def _sweep(self) -> None:
