--- a/fleetlab/soak/discovery.py
+++ b/fleetlab/soak/discovery.py
@@ -53,5 +53,3 @@
         super()._answer(target)
         if self._discovery.turned_away == turned_away:
             self._discovery.note(self)
-
-
--- a/fleetlab/soak/nodes.py
+++ b/fleetlab/soak/nodes.py
@@ -66,7 +66,7 @@
             match event["event"], event.get("id"):
                 case "arrived", str(id):
                     self.life.arrived[id] = event["at"] / 1e6
-                case ("ended" | "refused"), str(id):
+                case (("ended" | "refused"), str(id)):
                     self.life.arrived.setdefault(id, event["at"] / 1e6)
                     self.life.ended.setdefault(id, []).append(event.get("reason", ""))
         elif any(kind in text for kind in STATES):
--- a/ironledge/congestion.py
+++ b/ironledge/congestion.py
@@ -46,6 +46,7 @@
         return SECOND / max(1.0, self.congestion)
 
     def may_call(self, now: int) -> bool:
+        """Whether a call may be made at `now` (us)."""
         return self.next_at <= now
 
     def unused(self, now: int) -> float:
@@ -53,6 +54,7 @@
         return (now - self.next_at) / self.burst
 
     def called(self, now: int) -> None:
+        """A call has been made."""
         self.next_at = int(max(self.next_at, now - self.burst) + self.interval * self.congestion)
 
     def set(self, congestion: float) -> None:
--- a/ironledge/net/acceptor.py
+++ b/ironledge/net/acceptor.py
@@ -87,6 +87,7 @@
 
     @property
     def accepting(self) -> bool:
+        """Whether connections are taken now."""
         return self._reading
 
     def start(self) -> None:
@@ -102,6 +103,7 @@
         self._stop_reading()
 
     def close(self) -> None:
+        """Takes no more, and gives the socket back."""
         self.pause()
         self._socket.close()
 
--- a/ironledge/net/attempts.py
+++ b/ironledge/net/attempts.py
@@ -13,14 +13,22 @@
 
 
 class Timer(Protocol):
-    def cancel(self) -> None: ...
+    """A call that has been put off."""
+
+    def cancel(self) -> None:
+        """It will not be made."""
 
 
 class Loop(Protocol):
-    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Timer: ...
+    """What the engine needs of an event loop."""
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Timer:
+        """Calls back after `delay` s."""
 
 
 class Exchange(Protocol):
+    """An attempt on its way, as who carries it out knows it."""
+
     written: bool  # its last byte may have been
 
     def abort(self) -> bool:
@@ -43,6 +51,8 @@
 
 
 class Servers(Protocol):
+    """The connections to backends."""
+
     def know(self, entry: Entry, backend: int) -> None:
         """Takes in an entry, before the module hears of it."""
 
@@ -62,27 +72,40 @@
         """`permit` is asked in the moment of the write, and tells the rest of the data, which depends on it;
         None: the attempt may not begin any more, and ends as MOOT."""
 
-    def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
-    def close_idle(self, backend: int) -> None: ...
+    def probe(self, backend: int, ended: Callable[[Answer], None]) -> None:
+        """Asks a backend how it is."""
+
+    def close_idle(self, backend: int) -> None:
+        """Closes the connections to it that rest."""
 
 
 Answered = Callable[[Outcome, float], None]
 
 
 class CounterClient(Protocol):
-    def add(self, name: int, amount: float, ttl_us: int, answered: Answered) -> None: ...
+    """The counter that all gateways share."""
+
+    def add(self, name: int, amount: float, ttl_us: int, answered: Answered) -> None:
+        """Adds to a name, which lives for `ttl_us` if it is new, and tells the total."""
 
 
 class Client(Protocol):
+    """Who waits for a request's one answer."""
+
     def gone(self) -> bool:
         """Whether it has left, told by the socket itself: its end may be unread as yet."""
 
-    def serve(self, answer: Answer) -> None: ...
+    def serve(self, answer: Answer) -> None:
+        """The whole answer of a backend."""
+
     def stream(self, answer: Answer) -> None:
         """The answer has begun, and goes on as its body comes; it may yet break."""
 
-    def refuse(self, retry_after: int) -> None: ...
-    def fail(self, timed_out: bool) -> None: ...
+    def refuse(self, retry_after: int) -> None:
+        """A refusal: to try again, after so many us, is harmless."""
+
+    def fail(self, timed_out: bool) -> None:
+        """A failure, which promises nothing."""
 
 
 @dataclass(slots=True)
@@ -104,6 +127,8 @@
 
 
 class Attempt:
+    """One attempt of a request at a backend. Moments are us of the process's clock."""
+
     __slots__ = ("backend", "ended", "exchange", "latency", "number", "outcome", "sent", "timer", "wait")
 
     def __init__(self, number: int, backend: int, sent: int) -> None:
@@ -123,6 +148,8 @@
 
 
 class Request:
+    """A client's request from its arrival until all of its attempts have ended. Moments are us."""
+
     __slots__ = ("attempts", "client", "deadline", "number", "out", "over", "timer", "wanted", "whole_at")
 
     def __init__(self, number: int, wanted: Wanted, client: Client, deadline: int) -> None:
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -30,7 +30,6 @@
 FLEET_KEEP = 32  # ... and of all ingresses together: each costs the backend some of what it can do
 
 
-
 class LinkEnd(Enum):
     """Why a connection to a backend was ended, or had ended."""
 
--- a/ironledge/net/client_connection.py
+++ b/ironledge/net/client_connection.py
@@ -80,6 +80,7 @@
         self._written = self._read = 0  # bytes, and of these the ones that the client's machine has taken
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts it, and notes whether there is room for its requests."""
         super().connection_made(transport)
         listener = self._listener
         self.transport.set_write_buffer_limits(high=2 * SLICE)
@@ -92,6 +93,7 @@
         self._began = listener.new[self] = listener.now()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The client has gone with what it had open."""
         super().connection_lost(exc)
         listener = self._listener
         by_client = "reset by client" if exc else "closed by client"
@@ -120,6 +122,7 @@
         self._listener.coming.discard(self)
 
     def data_received(self, data: bytes) -> None:
+        """Parses what came, unless the last answer has been given."""
         if self not in self._listener.lingering:
             self.received_at = self._arrival()
             super().data_received(data)
@@ -140,11 +143,13 @@
         return earliest if age is None else max(earliest, now - age)
 
     def began(self) -> None:
+        """The first byte of a request: it has its time to come whole."""
         self._began = self._listener.now()
         if self._listener.idle.pop(self, None) is not None:
             self._listener.begun[self] = self._began
 
     def came(self, message: Message) -> None:
+        """A request's head, more of its body, or its end."""
         if self.transport.is_closing() or self in self._listener.lingering:  # behind the last answer
             message.body.release()
         elif message is self._taken:
@@ -226,6 +231,7 @@
 
     @property
     def busy(self) -> bool:
+        """Some of a request has come that is not answered."""
         doing = self._taken is not None or self._current is not None or self._answer is not None
         return (doing or bool(self._waiting) or self._begun) and self not in self._listener.lingering
 
@@ -236,6 +242,7 @@
         return half and self._heard_at < before and not unread(self.transport)
 
     def leave(self) -> None:
+        """Ends it in the middle of a head, to make room."""
         for held in (self._listener.new, self._listener.begun):
             held.pop(self, None)
         self._close(CloseReason.EVICTED)
@@ -335,9 +342,11 @@
     # The engine's answers.
 
     def gone(self) -> bool:
+        """Whether the client has left, by what the socket tells now."""
         return self.transport.is_closing() or left(self.transport)
 
     def serve(self, answer: Answer) -> None:
+        """A backend's answer, held whole."""
         kind = b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
         self._write(200, kind, answer.body, answer.told_length)
 
@@ -377,10 +386,12 @@
                 self._end()
 
     def refuse(self, retry_after: int, status: int = 429) -> None:
+        """`retry_after`: us, 0 for no advice."""
         advice = b"Retry-After: %.3f\r\n" % (retry_after / 1e6) if retry_after else b""
         self._write(status, advice, b"refused\n")
 
     def fail(self, timed_out: bool) -> None:
+        """A failure: nothing is said of effects."""
         self._write(504 if timed_out else 502, b"", b"failed\n")
 
     def _keeps(self) -> bool:
@@ -454,10 +465,12 @@
         listener.new.pop(self, None)
 
     def pause_writing(self) -> None:
+        """The client does not read on: nothing more is answered meanwhile."""
         self._full = True
         self._listener.choked[self] = self._listener.now()
 
     def resume_writing(self) -> None:
+        """The client has read on."""
         self._full = False
         self._listener.choked.pop(self, None)
         self._pass_on()
--- a/ironledge/net/clock.py
+++ b/ironledge/net/clock.py
@@ -18,4 +18,5 @@
         self.base = base
 
     def now(self) -> int:
+        """Us; never less than before."""
         return self.base + time.monotonic_ns() // 1000
--- a/ironledge/net/directory.py
+++ b/ironledge/net/directory.py
@@ -38,6 +38,7 @@
             log.info("discovery: %d removed that were not listed, such as %s", len(unknown), unknown[0])
 
     def is_up(self, name: str) -> bool:
+        """Whether it is listed and takes requests."""
         return self._packed.get(name, REMOVED)[0] == UP
 
     def packed(self, entry: Entry) -> str:
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -30,12 +30,21 @@
 
 
 class Decider(Protocol):
-    def handle(self, now: int, event: it.Event) -> list[it.Action]: ...
-    def hand_over(self) -> it.Carried: ...
-    def take_up(self, carried: it.Carried) -> None: ...
+    """The module that decides."""
+
+    def handle(self, now: int, event: it.Event) -> list[it.Action]:
+        """Takes one event, and returns what is to be done."""
+
+    def hand_over(self) -> it.Carried:
+        """Gives away what it has leased and learned."""
+
+    def take_up(self, carried: it.Carried) -> None:
+        """Goes on with what another one gave away."""
 
 
 class Engine:
+    """Carries out what the module decides, and tells it what becomes of that."""
+
     def __init__(
         self,
         gateway: Decider,
@@ -120,6 +129,7 @@
         request.timer = self._loop.call_later(left / 1e6, self._overdue, request)
 
     def client_gone(self, id: bytes) -> None:
+        """The client of that request has left."""
         request = self._requests.get(self._ids.get(id, 0))
         if request and not request.over:
             self._leave(request)
--- a/ironledge/net/listener.py
+++ b/ironledge/net/listener.py
@@ -71,15 +71,18 @@
         return self.share.open + opening < self.top
 
     def pause(self) -> None:
+        """What connects from now on waits in the queue."""
         if self._acceptor:
             self._acceptor.pause()
 
     def resume(self) -> None:
+        """Takes connections again, if this process is the one that does and there is room."""
         if self._acceptor and not self.handed and self._has_place(0):
             self._acceptor.start()
 
     @property
     def listening(self) -> bool:
+        """This process takes connections, now or as soon as there is room."""
         return self._acceptor is not None and not self.handed
 
     def hand_over(self) -> None:
@@ -89,6 +92,7 @@
         self.pause()
 
     def take_back(self) -> None:
+        """The process that accepted is gone: this one accepts again."""
         self.handed = self.stopping = False
         self.resume()
 
@@ -136,6 +140,7 @@
             self._acceptor = None
 
     def stop(self) -> None:
+        """Ends all connections."""
         self.stop_listening()
         if self._sweep:
             self._sweep.cancel()
--- a/ironledge/net/retry.py
+++ b/ironledge/net/retry.py
@@ -40,6 +40,8 @@
 
 
 class RetryPolicy:
+    """One deadline over all calls; see above."""
+
     def __init__(
         self, fleet_size: int, within: float = IN_FORCE, chance: Callable[[], float] = random.random
     ) -> None:
--- a/ironledge/net/send_rules.py
+++ b/ironledge/net/send_rules.py
@@ -59,7 +59,8 @@
         """Its last byte has not come."""
 
     @property
-    def attempts(self) -> Sequence[AttemptState]: ...
+    def attempts(self) -> Sequence[AttemptState]:
+        """All so far, the one that is asked for included."""
 
 
 def denial(
--- a/ironledge/net/sockets.py
+++ b/ironledge/net/sockets.py
@@ -31,6 +31,7 @@
         self._next = first
 
     def well(self) -> None:
+        """The last try went well: the next wait is the first one again."""
         self._next = self._first
 
     def wait(self, most: float = math.inf) -> float:
@@ -48,6 +49,7 @@
         self.freed: Callable[[], None] = lambda: None  # called when one has been closed
 
     def closed(self) -> None:
+        """One has been closed."""
         self.open -= 1
         self.freed()
 
@@ -57,6 +59,8 @@
 
 
 class Sockets:
+    """The descriptors of the process, dealt out to the sides."""
+
     def __init__(self, limit: int, callers: int = 0) -> None:
         """`callers`: descriptors held back for operators' calls."""
         self._limit, self._callers = limit, callers
@@ -68,6 +72,7 @@
         self.deal(self._limit // 2 if halved else self._limit)
 
     def deal(self, limit: int) -> None:
+        """Deals out so many anew, and closes what is over."""
         most = max(2, int((limit - BASE - self._callers) * USED))
         self.clients.most = max(1, int(most * CLIENTS))
         self.backends.most = max(1, most - self.clients.most)
--- a/ironledge/net/start_times.py
+++ b/ironledge/net/start_times.py
@@ -30,6 +30,8 @@
 
 
 class StartTimes:
+    """The starts that have been told, by the backend's name."""
+
     def __init__(self) -> None:
         self._ahead: int | None = None  # us that the fleet's clock is ahead of this process's, at the least
         self._starts: dict[str, _Start] = {}
--- a/ironledge/net/trace.py
+++ b/ironledge/net/trace.py
@@ -30,6 +30,7 @@
 
     @classmethod
     def from_environment(cls, environment: Mapping[str, str] = os.environ) -> Trace:
+        """Writes events if the environment says so."""
         return cls(writes=environment.get(VARIABLE, "") not in ("", "0"))
 
     def event(self, kind: str, reason: str = "", **fields: object) -> None:
@@ -45,6 +46,7 @@
 
     @property
     def violations(self) -> int:
+        """How many have been counted, of all rules."""
         return sum(count for (kind, _), count in self.counts.items() if kind == VIOLATION)
 
     def summary(self) -> str:
--- a/ironledge/subsetting.py
+++ b/ironledge/subsetting.py
@@ -38,9 +38,11 @@
     held: int
 
     def owns(self, mark: int) -> bool:
+        """Whether the gateway keeps to the backend of that mark."""
         return (mix(mark, self.row) ^ self.me) % self.own == 0
 
     def holds(self, mark: int) -> bool:
+        """Whether it has to do with it at all."""
         return self.held == 1 or (mix(mark, self.row) ^ self.me) % self.held == 0
 
 
