Let a later start show how old the backends told before it are at the least

A fresh process counts the start that was told last as happening now; what it learned from its first list stayed as young as that for a whole ramp, though the next start told shows that those are older. The module now hears of them anew; ages still never exceed what the wall clock would give.

--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -171,9 +171,12 @@
             for name in [n for n in self.directory if self._holds(n) != (n in self._backends)]:
                 self._tell(name, found, gone)
         now = self.now()
+        older: set[str] = set()  # than they counted for, as a later start has been told
         for entry, _ in found:
             if entry.since_us != self.put_back_at(entry.name):
-                self._starts.observe(entry.since_us, now)
+                older.update(self._starts.observe(entry.since_us, now))
+        older -= {entry.name for entry, _ in found}
+        found += [(self.directory[name], self._backends[name]) for name in older if name in self._backends]
         listed = [self._listed_backend(entry, number, now) for entry, number in found]
         if not listing.whole:
             listed += [it.ListedBackend(n, it.BackendState.GONE, 0, 0, 0, 1.0, 0) for n in gone]
--- a/ironledge/net/start_times.py
+++ b/ironledge/net/start_times.py
@@ -7,10 +7,11 @@
 - by the order of the moments told: the fleet's clock has reached the latest of them, so one that started ten
   seconds before the latest is at least ten seconds old; right, but at times far too low.
 
-The lower one counts, from the first telling of a start on. So a clock that is ahead makes no cold backend
-warm, and one that is behind keeps a warm one cold for one ramp at the longest, as its age grows from the
-telling on. A start that is told as earlier than the same backend's start before happens now: that clock has
-been stepped. One that lies further back than any step of the clock explains is long ago.
+The lower one counts, from the first telling of a start on; the second grows as later starts are told. So a
+clock that is ahead makes no cold backend warm, and one that is behind keeps a warm one cold for one ramp at
+the longest, as its age grows from the telling on. A start that is told as earlier than the same backend's
+start before happens now: that clock has been stepped. One that lies further back than any step of the clock
+explains is long ago.
 
 Pure: moments are microseconds, `now` of the process's clock, which never goes back and is not stepped.
 """
@@ -23,10 +24,11 @@
 GREATEST_STEP = 2 * 3600 * 1_000_000  # us: twice the hour by which a wall clock may be stepped
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Start:
     told: int  # on the fleet's clock
-    local: int
+    by_wall_clock: int  # the moment on this process's clock, were its wall clock right
+    local: int  # as it counts
 
 
 class StartTimes:
@@ -36,32 +38,42 @@
         self._ahead: int | None = None  # us that the fleet's clock is ahead of this process's, at the least
         self._starts: dict[str, _Start] = {}
 
-    def observe(self, told: int, now: int) -> None:
+    def observe(self, told: int, now: int) -> list[str]:
         """A start has been told: the fleet's clock has reached it. All of a list are observed before the
-        first of them is asked for."""
-        if told > 0 and (self._ahead is None or told - now > self._ahead):
-            self._ahead = told - now
+        first of them is asked for. Returns the backends that are older by this than they counted for."""
+        if told <= 0 or (self._ahead is not None and told - now <= self._ahead):
+            return []
+        self._ahead = told - now
+        older = []
+        for name, start in self._starts.items():
+            local = self._estimate(start)
+            if local < start.local:
+                start.local = local
+                older.append(name)
+        return older
 
     def local(self, name: str, told: int, now: int) -> int:
         """The moment of that start on this process's clock: the latest that it can have been, by what is
-        known when it is first told. `told`: LONG_AGO, or a moment of the fleet's clock."""
+        known so far. `told`: LONG_AGO, or a moment of the fleet's clock."""
         if told <= 0 or now - told > GREATEST_STEP:
             self._starts.pop(name, None)
             return LONG_AGO
         before = self._starts.get(name)
         if before and before.told == told:
             return before.local
-        local = now if before and told < before.told else self._estimate(told, now)
-        self._starts[name] = _Start(told, local)
-        return local
+        self.observe(told, now)
+        start = _Start(told, min(told, now), now)
+        if before is None or told > before.told:
+            start.local = self._estimate(start)
+        else:
+            start.by_wall_clock = now  # that clock has been stepped back: nothing but the telling counts
+        self._starts[name] = start
+        return start.local
 
     def forget(self, name: str) -> None:
         """It is not listed any more."""
         self._starts.pop(name, None)
 
-    def _estimate(self, told: int, now: int) -> int:
-        self.observe(told, now)
+    def _estimate(self, start: _Start) -> int:
         assert self._ahead is not None
-        by_order = told - self._ahead
-        by_wall_clock = min(told, now)
-        return max(by_order, by_wall_clock, 1)
+        return max(start.told - self._ahead, start.by_wall_clock, 1)
--- a/tests/test_net_start_times.py
+++ b/tests/test_net_start_times.py
@@ -11,7 +11,7 @@
 
 from fleetlab.faults import Faults, build
 from ironledge import interface as it
-from ironledge.net.engine import Engine
+from ironledge.net.engine import Engine, _mark
 from ironledge.net.listing import Listing
 from ironledge.net.maintenance import Maintenance
 from ironledge.net.names import Names
@@ -55,6 +55,35 @@
     assert age(starts, "late", NOW - 7 * SECOND, NOW) == 7 * SECOND  # as after a discovery that was down
 
 
+@pytest.mark.parametrize("off", OFF)
+def test_a_later_start_shows_how_old_the_others_are_at_the_least(off: int) -> None:
+    """A fresh process among a release: its list is old, and what is told next is not."""
+    starts, clock = StartTimes(), NOW + off
+    starts.observe(NOW - 20 * SECOND, clock)
+    assert age(starts, "a", NOW - 20 * SECOND, clock) <= 20 * SECOND
+    assert starts.observe(NOW - SECOND, clock) == (["a"] if off > -HOUR else [])
+    found = age(starts, "a", NOW - 20 * SECOND, clock)
+    assert found <= 20 * SECOND and (off < 0 or found >= 19 * SECOND)
+
+
+def test_the_module_hears_of_backends_that_are_older_than_they_counted_for() -> None:
+    script, clock, loop = Script(), NOW, asyncio.new_event_loop()
+    engine = Engine(script, SETTINGS, Names(SETTINGS, RAW), loop, lambda: clock)
+    engine.servers = Pretended()
+
+    def told(whole: bool, **since: int) -> dict[int, int]:
+        named = [
+            {"name": n, "address": ":1", "status": "up", "since_ms": at // 1000} for n, at in since.items()
+        ]
+        engine.listed(Listing({"index": 1, "snapshot": whole, "endpoints": named}))
+        return {b.id: b.started for b in script.of(it.BackendsListed)[-1].backends}
+
+    assert told(True, a=NOW - 20 * SECOND, b=0) == {1: NOW, 2: 0}
+    assert told(False, c=NOW - SECOND) == {3: NOW, 1: NOW - 19 * SECOND}
+    assert told(False, c=NOW - SECOND) == {3: NOW}
+    loop.close()
+
+
 def test_what_lies_further_back_than_a_step_explains_is_long_ago() -> None:
     starts = StartTimes()
     assert starts.local("a", 0, NOW) == LONG_AGO
@@ -90,11 +119,12 @@
     assert maintenance.put_online("a")
     assert [b.started for b in script.of(it.BackendsListed)[-1].backends] == [clock]
     clock += SECOND
-    (started,) = told(("c", NOW + 20 * SECOND), whole=False).values()  # told a second after it started
-    assert clock - started <= SECOND
+    started = told(("c", NOW + 20 * SECOND), whole=False)  # told a second after it started
+    assert clock - started[_mark("c")] <= SECOND
+    assert started.get(_mark("a"), clock - SECOND) == clock - SECOND  # put back a second ago, whatever else
     clock += 30 * SECOND
-    (started,) = told(("a", NOW + 50 * SECOND), whole=False).values()  # it has been restarted once more
-    assert clock - started <= SECOND
+    started = told(("a", NOW + 50 * SECOND), whole=False)  # it has been restarted once more
+    assert clock - started[_mark("a")] <= SECOND
     loop.close()
 
 
