--- a/fleetlab/soak/judge.py
+++ b/fleetlab/soak/judge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from itertools import pairwise
@@ -20,6 +21,7 @@
 END_AFTER = LONGEST + 0.7  # s after SIGTERM
 BAD_PEER_SLACK = 0.3
 READY_WITHIN = 10.0
+SWEEP = 0.25  # s between two moments at which a process notes that it was held up
 CROWD_LASTS = 3.0  # s that the connections of a crowd may stay after it
 
 
@@ -68,7 +70,8 @@
         yield f"read and closed unanswered, as it was known when it came again: {call}"
     if call.ending is Ending.ANSWERED:
         late = call.ended_at - call.sent_at - call.timeout
-        if late > ANSWER_SLACK + slack and not call.behind_others and not _crowded(run, call):
+        excused = call.behind_others or _crowded(run, call) or _held_up(life, call.sent_at, call.ended_at)
+        if late > ANSWER_SLACK + slack and not excused:
             yield f"answered {late:.2f} s late: {call}"
     elif call.ending is Ending.NO_ANSWER:
         yield f"never answered, read by {life.node if life else 'nobody'}: {call}"
@@ -84,6 +87,17 @@
     return any(0 <= call.ended_at - run.began_at - t.at <= t.seconds + CROWD_LASTS for t in crowds)
 
 
+def _held_up(life: Life | None, since: float, until: float) -> bool:
+    """The process got no processor for longer than it has to allow for, by its own log, in that time."""
+    for state in life.states if life else ():
+        if '"held up"' in state:
+            event = json.loads(state)
+            ended, late = event["at"] / 1e6, event["late_us"] / 1e6
+            if event["cpu_us"] / 1e6 < late / 2 and ended - late - SWEEP < until and ended > since:
+                return True
+    return False
+
+
 def _cut_by_a_kill(asked: list[Call], lives: list[Life]) -> bool:
     until = max(call.ended_at or call.sent_at + call.timeout for call in asked)
     return len(asked) > 1 and any(asked[0].sent_at <= life.killed_at <= until for life in lives)
@@ -121,7 +135,10 @@
             late = arrival.began_at - call.ended_at
             yield "P8 clients gone", f"begun {late:.3f} s after: {call} {arrival}"
         left = call.sent_at + call.timeout - arrival.began_at
-        if arrival.told > max(left, 0.001) + DEADLINE_SLACK + slack and not _away(call.sent_at, lives):
+        excused = _away(call.sent_at, lives) or _held_up(
+            _read_by(call, lives), call.sent_at, arrival.began_at
+        )
+        if arrival.told > max(left, 0.001) + DEADLINE_SLACK + slack and not excused:
             yield "P9 deadlines told", f"{arrival.told:.3f} s told, {left:.3f} s left: {call} {arrival}"
 
 
--- a/ironledge/net/listener.py
+++ b/ironledge/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from ironledge.net.acceptor import Acceptor, listening_socket
@@ -10,6 +11,7 @@
 from ironledge.net.engine import Engine
 from ironledge.net.http import Room
 from ironledge.net.request_reader import RequestReader
+from ironledge.net.send_rules import HELD_UP
 from ironledge.net.sockets import Sockets
 
 LINGERS = 1.0  # s that a client may go on sending after an early answer, so that it comes to read that
@@ -47,6 +49,9 @@
         self.connections: set[ClientConnection] = set()
         self._sweep: asyncio.TimerHandle | None = None
         self._acceptor: Acceptor | None = None
+        self._ticked: tuple[int, float] | None = (
+            None  # the last sweep: when (us), and the CPU used so far (s)
+        )
         self.share.evict = self._evict
         self.share.freed = self.resume
 
@@ -151,6 +156,7 @@
         """A client that never finishes sending, or asks no more, would hold its descriptor for good."""
         self._sweep = asyncio.get_running_loop().call_later(SWEEP, self._tick)
         now = self.now()
+        self._note_delay(now)
         for connection in _older(self.new, now - int(HALF_SENT * 1e6)):
             connection.garbage(408)
         for connection in _older(self.begun, now - int(HALF_SENT * 1e6)):
@@ -166,6 +172,14 @@
         for connection in [c for c, since in self.choked.items() if since < now - int(UNREAD * 1e6)]:
             connection.abort(CloseReason.ANSWER_UNREAD)
 
+    def _note_delay(self, now: int) -> None:
+        """Tells a process that was held up from one that was busy, by the processor time that it used."""
+        used, before = time.process_time(), self._ticked
+        self._ticked = (now, used)
+        if before and (late := now - before[0] - int(SWEEP * 1e6)) > HELD_UP:
+            cpu = int(1e6 * (used - before[1]))
+            self.engine.trace.event("process", "held up", late_us=late, cpu_us=cpu)
+
     def _evict(self) -> bool:
         """Those that have had their last answer go first, then those that say nothing, those that stopped in
         the middle of a head, and the longest idle; with a request unread, none of these. Of one that has just
--- a/tests/test_net_trace.py
+++ b/tests/test_net_trace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 import signal
@@ -52,3 +53,20 @@
     counts = json.loads(errors.rpartition("counts: ")[2].splitlines()[0])
     assert counts["ended/served"] == 1 and not any(name.startswith("violation") for name in counts)
     server.stop()
+
+
+async def test_a_process_that_got_no_processor_says_so(tmp_path: Path) -> None:
+    """And a break that this explains is none of its own: its log tells how late its loop was, and its CPU."""
+    (tmp_path / "config.json").write_text(json.dumps(config()))
+    ran = start(tmp_path / "config.json", EDGE_TRACE="1")
+    await asyncio.to_thread(listens, ran)
+    await asyncio.sleep(0.3)
+    ran.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(0.6)
+    ran.send_signal(signal.SIGCONT)
+    await asyncio.sleep(0.3)
+    ran.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.to_thread(ran.communicate, timeout=60)
+    lines = (line.partition("ironledge.trace: ")[2] for line in errors.splitlines())
+    held_up = [e for e in map(json.loads, filter(None, lines)) if e.get("reason") == "held up"]
+    assert held_up and held_up[0]["late_us"] > 200_000 and held_up[0]["cpu_us"] < 100_000
