Take the wall clock at its word for as long as the slow start's reserve covers

Change: a start may be older than its telling shows by what the unused fifth of the cold budget covers at every process at once (0.5 s of a ramp of 12 s from a share of 0.15), and never older than the wall clock says.

--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -18,7 +18,7 @@
 from ironledge.net.listing import Entry, Listing
 from ironledge.net.names import Names
 from ironledge.net.send_rules import FORESEEABLE, Denial, denial
-from ironledge.net.start_times import StartTimes
+from ironledge.net.start_times import StartTimes, reserve
 from ironledge.net.trace import Trace
 from ironledge.subsetting import deal
 
@@ -68,7 +68,7 @@
         self._longest = max(c.deadline for c in settings.classes)
         self.directory = Directory()
         self.put_back_at: Callable[[str], int] = lambda name: 0  # us, by operators; 0: it has not been
-        self._starts = StartTimes()
+        self._starts = StartTimes(reserve(settings.safety))
         self._subset = deal(settings.me, settings.fleet_size, 0)  # what of it is told to the module
         self._backends: dict[str, int] = {}  # those told, by name; a number is never used again
         self._numbers = 0
--- a/ironledge/net/start_times.py
+++ b/ironledge/net/start_times.py
@@ -7,9 +7,12 @@
 - by the order of the moments told: the fleet's clock has reached the latest of them, so one that started ten
   seconds before the latest is at least ten seconds old; right, but at times far too low.
 
-The lower one counts, from the first telling of a start on; the second grows as later starts are told. So a
-clock that is ahead makes no cold backend warm, and one that is behind keeps a warm one cold for one ramp at
-the longest, as its age grows from the telling on. A start that is told as earlier than the same backend's
+The lower one counts, from the first telling of a start on; the second grows as later starts are told. As
+starts are told late, the wall clock is taken at its word beyond the second one, but only for the time by
+which all ages may be wrong without a cold backend getting more than its budget (`reserve`).
+
+So a clock that is ahead makes no cold backend warm, and one that is behind keeps a warm one cold for one ramp
+at the longest, as its age grows from the telling on. A start that is told as earlier than the same backend's
 start before happens now: that clock has been stepped. One that lies further back than any step of the clock
 explains is long ago.
 
@@ -20,6 +23,9 @@
 
 from dataclasses import dataclass
 
+from ironledge.brain import COLD_PART
+from ironledge.interface import Safety
+
 LONG_AGO = 0
 GREATEST_STEP = 2 * 3600 * 1_000_000  # us: twice the hour by which a wall clock may be stepped
 
@@ -34,7 +40,9 @@
 class StartTimes:
     """The starts that have been told, by the backend's name."""
 
-    def __init__(self) -> None:
+    def __init__(self, reserve: int = 0) -> None:
+        """`reserve`: us by which all ages may be too great."""
+        self._reserve = reserve
         self._ahead: int | None = None  # us that the fleet's clock is ahead of this process's, at the least
         self._starts: dict[str, _Start] = {}
 
@@ -76,4 +84,11 @@
 
     def _estimate(self, start: _Start) -> int:
         assert self._ahead is not None
-        return max(start.told - self._ahead, start.by_wall_clock, 1)
+        return max(start.told - self._ahead - self._reserve, start.by_wall_clock, 1)
+
+
+def reserve(safety: Safety) -> int:
+    """Us of a ramp that the unused part of the cold budget (COLD_PART) covers, at its very start."""
+    if safety.cold_share >= 1:
+        return 0
+    return int((1 / COLD_PART - 1) * safety.cold_share / (1 - safety.cold_share) * safety.ramp_time)
