--- a/fleetlab/soak/run.py
+++ b/fleetlab/soak/run.py
@@ -7,6 +7,7 @@
 import errno
 import os
 import random
+import signal
 import tempfile
 import time
 from collections.abc import Coroutine
@@ -274,7 +275,10 @@
 async def play(
     seed: int, seconds: float, nodes: int, backends: int, rate: float, gap: float
 ) -> tuple[Run, list[str]]:
-    """What was recorded, and the problems of the run itself."""
+    """What was recorded, and the problems of the run itself. SIGTERM ends it with all that it has started."""
+    task = asyncio.current_task()
+    assert task
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, nodes, backends, rate, gap, Path(folder))
         return await soak.play(), soak.problems
