--- a/fleetlab/soak/clients.py
+++ b/fleetlab/soak/clients.py
@@ -21,7 +21,6 @@
 PATIENCE = 1.5  # s past its time that a client still waits for its answer, to see whether one comes
 OWED = 3.0  # s in which a peer that sends no request gets an error or a close
 STAYS = 4.5  # s that such a peer stays
-LOOK = 0.05
 NONSENSE = (b"\x16\x03\x01\x02\x00\x01\x00", b"HELO there\r\n\r\n", b"GET / HTTP/9\r\n\r\n")
 LONGEST_PIPELINED = 2_000  # bytes of a body
 BODIES = (0, 200, 5_000, 70_000, 300_000)
@@ -172,15 +171,12 @@
         end = due = time.monotonic()
         end += seconds
         ways, weights = zip(*self._ways, strict=True)
-        look_at = due
         while (due := due + self.rng.expovariate(rate)) < end:
             if (wait := due - time.monotonic()) > 0:
                 await asyncio.sleep(wait)
             self.lag = max(self.lag, time.monotonic() - due)
             (way,) = self.rng.choices(ways, weights)
             self._start(way(self.rng.randrange(len(self.ports))))
-            if due - look_at > LOOK:
-                look_at = due
         while self._tasks:
             await asyncio.wait(self._tasks)
         for links in self._idle.values():
--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -141,7 +141,7 @@
         maintenance: Maintenance,
         config: Config,
         index: int | None,
-        pass_on: Callable[[dict[str, Any]], None] = lambda change: None,
+        pass_on: Callable[[dict[str, Any]], None] | None = None,
     ) -> None:
         """`index`: the version of the list that is held, if one is; `pass_on` is called with each change that
         discovery tells, for another process of this ingress."""
@@ -220,7 +220,7 @@
             self._discovery, self._next = by, None
         if by is self._discovery:
             after, self._passed = self._passed, listing.index
-            if len(listing.packed) <= MOST_PASSED_ON:
+            if self._pass_on and len(listing.packed) <= MOST_PASSED_ON:
                 packed = dict(listing.packed)  # as told: bans are laid over it next
                 self._pass_on({
                     "discovery": list(by.address), "index": listing.index, "after": after,
@@ -307,7 +307,7 @@
         known, self._told, self._known = self._told or self._known, None, None
         if known:
             self.maintenance.listed(known, it.ListKind.CACHED)
-        pass_on = self.handover.pass_on if self.handover else lambda change: None
+        pass_on = self.handover.pass_on if self.handover else None
         index = known.index if known else None
         self.sources = Sources(self.engine, self.maintenance, config, index, pass_on)
         changes, self._changes = self._changes, []
--- a/ironledge/net/acceptor.py
+++ b/ironledge/net/acceptor.py
@@ -85,11 +85,6 @@
         self._retry: asyncio.TimerHandle | None = None
         self._opening: set[asyncio.Task[None]] = set()
 
-    @property
-    def accepting(self) -> bool:
-        """Whether connections are taken now."""
-        return self._reading
-
     def start(self) -> None:
         """Accepts from now on, until `pause`. Has no effect where it does already."""
         if not self._reading and self._socket.fileno() >= 0:
--- a/ironledge/net/attempts.py
+++ b/ironledge/net/attempts.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from ironledge.brain import NEVER_RAN
 from ironledge.interface import Outcome
 from ironledge.net.http import Body
 from ironledge.net.listing import Entry
-from ironledge.net.send_rules import NEVER_RAN
 
 
 class Timer(Protocol):
--- a/ironledge/net/send_rules.py
+++ b/ironledge/net/send_rules.py
@@ -11,10 +11,9 @@
 from enum import Enum
 from typing import Protocol
 
-from ironledge.interface import Limits, Outcome, Repeat, RequestClass
+from ironledge.interface import Limits, Repeat, RequestClass
 
 HELD_UP = 150_000  # us that may pass between a look at the clock and the write: the standing test's figure
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 
 
 class Denial(Enum):
