--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,6 @@
 import socket
 import struct
 import sys
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +15,6 @@
     SETTINGS,
     Fleet,
     Record,
-    address_of,
     content_length,
     endpoint,
     header,
@@ -36,7 +34,7 @@
 READ_BYTES = 20_000  # at a time
 READ_BYTES_PER_S = 500_000  # of a slow box; the pages name 64 kB/s
 RECEIVE_BUFFER_BYTES = 65_536  # of a box; the kernel doubles it
-LONGEST_IN_BOX = (2 * RECEIVE_BUFFER_BYTES + 4 * READ_BYTES) / READ_BYTES_PER_S  # s from arrival to reading
+LONGEST_IN_BOX = (2 * RECEIVE_BUFFER_BYTES + READ_BYTES) / READ_BYTES_PER_S  # s from arrival to reading
 TIMEOUT_MS = 5000
 MAX_WAIT = 7.0  # s
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -48,51 +46,73 @@
     def __init__(self, record: Record, trouble: bool) -> None:
         self.record, self.trouble = record, trouble
         self.runs: dict[str, list[float]] = {}  # by key: when each run began
-        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> list[dict[str, Any]]:
         endpoints = []
         for number in range(BOXES):
             listening = socket.create_server((HOST, 0))
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            serve = partial(self._serve, number)
-            server = await asyncio.start_server(serve, sock=listening, limit=READ_BYTES)
-            self._servers.append(server)
-            endpoints.append(endpoint(f"s-{number:08x}", address_of(server)))
+            listening.setblocking(False)
+            self._tasks.add(asyncio.get_running_loop().create_task(self._accept(number, listening)))
+            address = f"{HOST}:{listening.getsockname()[1]}"
+            endpoints.append(endpoint(f"s-{number:08x}", address))
         return endpoints
 
-    async def _serve(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _accept(self, number: int, listening: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(listening)
+            task = loop.create_task(self._serve(number, sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, number: int, sock: socket.socket) -> None:
+        """Serves one connection; it reads without a buffer of its own, so that the kernel's is the only one."""
+        loop = asyncio.get_running_loop()
         resets = self.trouble and number < RESETTING
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
+                data = b""
+                while b"\r\n\r\n" not in data:
+                    part = await loop.sock_recv(sock, READ_BYTES)
+                    if not part:
+                        return
+                    data += part
+                head, _, rest = data.partition(b"\r\n\r\n")
                 request_id = header(head, b"request-id").decode()
                 self.record(f"box {number} reads the head of {request_id}")
-                await self._read_body(reader, content_length(head), is_slow=self.trouble and not resets)
-                if reader.at_eof():
+                left = content_length(head) - len(rest)
+                if not await self._read_body(sock, left, is_slow=self.trouble and not resets):
                     self.record(f"box {number} drops {request_id}: given up before its last byte was read")
                     return
                 self._run(number, request_id, header(head, b"idempotency-key").decode())
                 if resets:
                     await asyncio.sleep(RESET_AFTER)
                     self.record(f"box {number} resets the connection under {request_id}")
-                    sock = writer.get_extra_info("socket")
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                    writer.transport.abort()
                     return
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsaved")
-        except (OSError, asyncio.IncompleteReadError):
+                await loop.sock_sendall(sock, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsaved")
+        except OSError:
             pass
         finally:
-            writer.close()
+            sock.close()
 
-    async def _read_body(self, reader: asyncio.StreamReader, size: int, is_slow: bool) -> None:
+    async def _read_body(self, sock: socket.socket, size: int, is_slow: bool) -> bool:
+        """Reads `size` bytes. Returns whether all came and the ingress has not ended the connection."""
         loop = asyncio.get_running_loop()
         began_at, left = loop.time(), size
-        while left:
-            left -= len(await reader.readexactly(min(left, READ_BYTES)))
+        while left > 0:
+            part = await loop.sock_recv(sock, min(left, READ_BYTES))
+            if not part:
+                return False
+            left -= len(part)
             if is_slow:
                 await asyncio.sleep(max(0.0, began_at + (size - left) / READ_BYTES_PER_S - loop.time()))
+        try:
+            return bool(sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
 
     def _run(self, number: int, request_id: str, key: str) -> None:
         """Runs a request, unless its last byte arrived while its key was remembered."""
