Close an idle backend connection that receives data: it was read as the next response

What callers saw: 200 with the body of another client's request, where a backend answered twice and the second response came in pieces; by the same path requests that may not be repeated ran twice.

Cause: the pool looks for unsolicited data only where it is still unread at reuse. A first piece that the event loop had read on the idle connection left the parser in the middle of a message, and the rest completed the response to the next request.

Change: a connection that receives anything without a request in flight is closed (close reason "unsolicited data").

--- a/quota_ingress/net/upstream/close_reason.py
+++ b/quota_ingress/net/upstream/close_reason.py
@@ -11,6 +11,7 @@
     IDLE = "idle"
     EVICTED = "evicted"  # its descriptor was needed, or there were too many idle connections
     NOT_ALIVE = "not alive"  # found at reuse: the backend had closed it or sent unsolicited data
+    UNSOLICITED_DATA = "unsolicited data"  # read while no request was in flight
     WITHDRAWN = "withdrawn"  # the backend drains, was removed or replaced; or idle when the process ends
     ABORTED = "aborted"  # its attempt was aborted
     NOT_AUTHORIZED = "not authorized"  # its attempt may not begin, or ended before the connection was open
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -75,7 +75,13 @@
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
 
     def send(self, exchange: Exchange) -> None:
-        """Writes the request if `exchange.authorize` allows it; else closes the connection."""
+        """Writes the request if `exchange.authorize` allows it; else closes the connection.
+
+        The attempt fails if the connection has been closed since it was opened.
+        """
+        if self.closed:
+            exchange.fail()
+            return
         after_head = exchange.authorize()
         if after_head is None or exchange.ended:
             self.close(UpstreamCloseReason.NOT_AUTHORIZED)
@@ -186,6 +192,17 @@
         request_body_blocked = exchange.body is not None and not exchange.written and self._write_paused
         return request_body_blocked or self.stream is not None
 
+    def data_received(self, data: bytes) -> None:
+        """Parses the response. Without a request to respond to, closes the connection.
+
+        Data received on an idle connection may be the start of a second response to the last request, whose
+        rest would be taken for the response to the next one.
+        """
+        if self.exchange is None:
+            self.close(UpstreamCloseReason.UNSOLICITED_DATA)
+        else:
+            super().data_received(data)
+
     def message_received(self, message: Message) -> None:
         """Handles a response whose head is complete, or more of whose body has been received."""
         exchange = self.exchange
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -174,6 +174,27 @@
     backend.stop()
 
 
+async def test_a_duplicate_response_in_pieces_does_not_answer_the_next_request(
+    pooled: PooledBackend, no_reuse_delay: None
+) -> None:
+    """Guards against serving a client the body of another client's request.
+
+    The first piece was read while the connection was idle, and the rest completed the response to the next
+    request.
+    """
+    assert await pooled.outcome() is Outcome.OK
+    first_peer = pooled.server.peers[0]
+    (connection,) = pooled.backends._pools[1].idle
+    first_peer.transport.write(DUPLICATE[:10])
+    async with asyncio.timeout(10):
+        while not (connection.reader.in_message or connection.closed):
+            await asyncio.sleep(0)
+    pooled.server.on_data = lambda peer: peer.transport.write(DUPLICATE[10:] if peer is first_peer else OK)
+    async with asyncio.timeout(10):
+        assert (await pooled.send()).body == b"warm"
+    assert connection.closed and len(pooled.server.peers) == 2
+
+
 DUPLICATE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy"
 
 
