End a counter connection on part of an answer without a call: it answered the next call

What callers saw: nothing yet. Found as a related path of the second response in pieces: the counter's client kept part of a line that came without a pending call, and the line's rest was taken for the answer to the next call, so that a customer's quota was computed from another customer's total.

Change: part of an answer without a pending call is malformed, as a complete one was already, and ends the connection.

--- a/quota_ingress/net/counter/connection.py
+++ b/quota_ingress/net/counter/connection.py
@@ -162,6 +162,8 @@
                 raise MalformedAnswerError(
                     f"unterminated line of {len(self._partial_line)} bytes exceeds {MAX_ANSWER_BYTES}"
                 )
+            if self._partial_line and not self._pending:  # its rest would answer the next call
+                raise MalformedAnswerError("part of an answer without a matching call")
         except MalformedAnswerError as error:
             log.warning("counter: malformed answer, closing the connection: %s", error)
             self._abort_unreadable()
--- a/tests/test_counter_client.py
+++ b/tests/test_counter_client.py
@@ -90,6 +90,26 @@
     calls.counter.stop()
 
 
+async def test_a_duplicate_answer_in_pieces_does_not_answer_the_next_call(server: PeerServer) -> None:
+    """Guards against taking a customer's total from the second answer to another customer's call."""
+    calls = RecordedCalls(server, LONG_TIMEOUT)
+    await calls.connect()
+    (connection,) = calls.counter._connections
+    calls.add("a")
+    await received_adds(server, 1)
+    server.peers[0].transport.write(b"ok 5\r\nok 5")
+    assert await calls.answered(1) == [("a", Outcome.OK, 5.0)]
+    async with asyncio.timeout(10):
+        while not connection._partial_line:
+            await asyncio.sleep(0)
+        while connection.transport.is_closing() and calls.counter._connections in ([], [connection]):
+            await asyncio.sleep(0)
+    server.on_data = lambda peer: peer.transport.write(b"000\r\n" if peer is server.peers[0] else b"ok 6\r\n")
+    calls.add("b")
+    assert (await calls.answered(2))[1] == ("b", Outcome.OK, 6.0)
+    calls.counter.stop()
+
+
 @pytest.mark.parametrize("reply", [b"what\r\n", b"pong\r\n", b"ok nan\r\n", b"ok\r\n", b"x" * 1000])
 async def test_a_malformed_answer_ends_the_connection_and_a_new_one_is_made(
     server: PeerServer, reply: bytes
