Abort a keyed attempt that is not delivered in the window: it ran a second time

What callers saw: a request with an idempotency key ran twice, as its repeat went to a backend that reads slowly and its last byte arrived there after the deduplication window.

Cause: the window was checked when an attempt begins. The rest of the request is written at the backend's pace, by the ingress, its transport and the kernel, which goes on sending after a close. A first attempt that a hedged one overtakes had no limit either.

Change: send_rules.delivery_deadline tells by when the last byte must have arrived; AttemptRunner aborts an attempt whose backend's machine has not acknowledged it by then (event "undelivered"), and a connection closed with an undelivered request is reset, so that the kernel drops what it holds. socket_state moves up, as upstream uses it now.

The three regression tests failed before: both bodies arrived whole after the window, and the first attempt was never aborted.

--- a/ingress_testbed/hollow.py
+++ b/ingress_testbed/hollow.py
@@ -48,6 +48,11 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(ATTEMPT_LATENCY, on_result, AttemptResult(Outcome.OK))
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the backend has the whole request: from the start, as nothing is sent."""
+        return True
+
     def abort(self) -> bool:
         """Cancels the attempt; returns True, as the backend may have processed it."""
         self._timer.cancel()
--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -12,7 +12,6 @@
 from quota_ingress.net.downstream.read_flow import ReadFlow
 from quota_ingress.net.downstream.request_parser import InvalidRequestError, encode_forwarded_head
 from quota_ingress.net.downstream.response_writer import ResponseWriter, StreamState
-from quota_ingress.net.downstream.socket_state import peer_has_closed, unread_bytes
 from quota_ingress.net.downstream.timeouts import is_body_too_slow
 from quota_ingress.net.engine.ports import AttemptResult
 from quota_ingress.net.http import (
@@ -23,6 +22,7 @@
     RequestReader,
     limit_socket_buffers,
 )
+from quota_ingress.net.socket_state import peer_has_closed, unread_bytes
 
 HEALTH_CHECK_PATH = b"/up"
 
--- a/quota_ingress/net/downstream/read_flow.py
+++ b/quota_ingress/net/downstream/read_flow.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from quota_ingress.net.downstream.socket_state import peer_has_closed, time_since_last_data_us, unread_bytes
+from quota_ingress.net.socket_state import peer_has_closed, time_since_last_data_us, unread_bytes
 
 CLIENT_LEFT_CHECK_INTERVAL_S = 0.1  # while reading is paused
 
--- a/quota_ingress/net/downstream/response_writer.py
+++ b/quota_ingress/net/downstream/response_writer.py
@@ -5,8 +5,8 @@
 import asyncio
 from enum import Enum, auto
 
-from quota_ingress.net.downstream.socket_state import unacknowledged_bytes
 from quota_ingress.net.http import Body
+from quota_ingress.net.socket_state import unacknowledged_bytes
 
 
 class StreamState(Enum):
--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -8,7 +8,7 @@
 from quota_ingress.net.engine.attempts import Attempt
 from quota_ingress.net.engine.ports import AttemptResult, Loop, Upstream
 from quota_ingress.net.engine.requests import Request
-from quota_ingress.net.engine.send_rules import PREDICTABLE_DENIALS, Denial, denial
+from quota_ingress.net.engine.send_rules import PREDICTABLE_DENIALS, Denial, delivery_deadline, denial
 from quota_ingress.net.engine.settings_index import SettingsIndex
 from quota_ingress.net.event_log import EventLog
 from quota_ingress.policy.events import AttemptEnded, Event, Outcome, StreamStarted
@@ -84,6 +84,8 @@
             lambda result: self._on_stream_started(request, attempt, result),
             lambda: self._authorize(request, attempt),
         )
+        for each in _in_flight(request):
+            self._limit_delivery(request, each)
 
     def cancel(self, request: Request, number: int) -> None:
         """Cancels attempt `number` of a request if it is in flight."""
@@ -126,8 +128,9 @@
         attempt.outcome = result.outcome
         request.attempts_in_flight -= 1
         self._event_log.event("attempt", result.outcome.value, id=request.parsed.id, n=attempt.number)
-        if attempt.timer:
-            attempt.timer.cancel()
+        for timer in (attempt.timer, attempt.delivery_timer):
+            if timer:
+                timer.cancel()
         if result.outcome is Outcome.OK and not request.answered and not attempt.streaming:
             self._event_log.event("ended", "served", id=request.parsed.id)
             self._owner.mark_answered(request)
@@ -205,13 +208,46 @@
         self._owner.post(StreamStarted(request.number, attempt.number, attempt.backend, attempt.latency))
         request.client.stream_response(result)
 
+    def _limit_delivery(self, request: Request, attempt: Attempt) -> None:
+        """Starts the timer of the attempt's delivery deadline, if it has one."""
+        if attempt.delivery_timer:
+            attempt.delivery_timer.cancel()
+        request_class = self.settings.classes[request.parsed.request_class]
+        deadline = delivery_deadline(request, attempt, request_class)
+        if deadline is not None:
+            delay = max(0, deadline - self._now()) / US_PER_SECOND
+            attempt.delivery_timer = self._loop.call_later(
+                delay, self._on_delivery_deadline, request, attempt
+            )
+
+    def _on_delivery_deadline(self, request: Request, attempt: Attempt) -> None:
+        """Aborts an attempt whose last byte would arrive after the deduplication window.
+
+        The deadline may have moved since the timer was started, as other attempts have ended without running.
+        """
+        if attempt.ended or attempt.streaming or attempt.exchange is None or attempt.exchange.delivered:
+            return
+        request_class = self.settings.classes[request.parsed.request_class]
+        deadline = delivery_deadline(request, attempt, request_class)
+        if deadline is None or self._now() < deadline:
+            self._limit_delivery(request, attempt)
+            return
+        self._event_log.event("undelivered", Denial.WINDOW_OVER.value, id=request.parsed.id, n=attempt.number)
+        self._abort(request, attempt, Outcome.TIMEOUT, outcome_if_unwritten=Outcome.NOT_SENT)
+
     def _on_timeout(self, request: Request, attempt: Attempt) -> None:
         self._abort(request, attempt, Outcome.TIMEOUT)
 
-    def _abort(self, request: Request, attempt: Attempt, outcome_if_written: Outcome) -> None:
+    def _abort(
+        self,
+        request: Request,
+        attempt: Attempt,
+        outcome_if_written: Outcome,
+        outcome_if_unwritten: Outcome = Outcome.CONNECT_FAILED,
+    ) -> None:
         if not attempt.ended and attempt.exchange:
             may_have_run = attempt.exchange.abort()
-            outcome = outcome_if_written if may_have_run else Outcome.CONNECT_FAILED
+            outcome = outcome_if_written if may_have_run else outcome_if_unwritten
             self.end(request, attempt, AttemptResult(outcome))
 
     def _latency(self, request: Request, attempt: Attempt) -> int:
--- a/quota_ingress/net/engine/attempts.py
+++ b/quota_ingress/net/engine/attempts.py
@@ -19,6 +19,7 @@
 
     __slots__ = (
         "backend",
+        "delivery_timer",
         "ended",
         "exchange",
         "latency",
@@ -37,6 +38,7 @@
         self.ended = False
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
+        self.delivery_timer: Timer | None = None  # due at the delivery deadline
         self.response_timeout = 0
         self.latency = NOT_STARTED
         self.outcome: Outcome | None = None
--- a/quota_ingress/net/engine/ports.py
+++ b/quota_ingress/net/engine/ports.py
@@ -45,6 +45,10 @@
 
     written: bool  # the last byte of the request may have been written
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the backend's machine has acknowledged the whole request."""
+
     def abort(self) -> bool:
         """Aborts the attempt. Returns whether it may have run: its last byte may have been written."""
 
--- a/quota_ingress/net/engine/send_rules.py
+++ b/quota_ingress/net/engine/send_rules.py
@@ -3,6 +3,9 @@
 The rules are checked twice: when the policy requests an attempt, and again immediately before its first byte
 is written, because connecting may take a second and the process may be suspended in between. The policy
 applies the same rules to what it knows; a denial that it should have predicted is counted as a violation.
+
+A request is written at the backend's pace, so a third rule, `delivery_deadline`, applies until its last byte
+has arrived.
 """
 
 from __future__ import annotations
@@ -89,6 +92,21 @@
     return Denial.OUT_OF_TIME if response_deadline <= now else None
 
 
+def delivery_deadline(
+    request: RequestState, attempt: AttemptState, request_class: RequestClass
+) -> int | None:
+    """Returns the time (us) by which the last byte of `attempt` must have arrived; None if there is no limit.
+
+    A backend executes a request once its last byte has arrived, which may be long after the attempt began.
+    With an idempotency key that must be within the deduplication window of every other attempt that may run.
+    """
+    if request_class.idempotency is not Idempotency.WITH_KEY:
+        return None
+    others = [other for other in request.attempts if other is not attempt]
+    sent_at = [other.sent_at for other in others if other.may_have_run or not other.ended]
+    return _last_write_in_window(sent_at, request_class) if sent_at else None
+
+
 def _retry_denial(others: Sequence[AttemptState], request_class: RequestClass, now: int) -> Denial | None:
     """Returns why a retry could execute the request a second time; None if that is impossible or harmless."""
     may_have_run_since = [other.sent_at for other in others if other.may_have_run]
@@ -96,5 +114,9 @@
         return None
     if request_class.idempotency is Idempotency.NOT_IDEMPOTENT:
         return Denial.MAY_HAVE_RUN
-    window_end = min(may_have_run_since) + request_class.deduplication_window
-    return Denial.WINDOW_OVER if now + WRITE_DELAY >= window_end else None
+    return Denial.WINDOW_OVER if now >= _last_write_in_window(may_have_run_since, request_class) else None
+
+
+def _last_write_in_window(sent_at: Sequence[int], request_class: RequestClass) -> int:
+    """Returns when (us) the deduplication window of attempts sent at these times is over for a write."""
+    return min(sent_at) + request_class.deduplication_window - WRITE_DELAY
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import socket
+import struct
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,10 +22,13 @@
     Message,
     ResponseReader,
 )
+from quota_ingress.net.socket_state import unacknowledged_bytes
 from quota_ingress.net.upstream.close_reason import UpstreamCloseReason
 from quota_ingress.net.upstream.exchange import Exchange, ResultCallback
 from quota_ingress.policy.events import Outcome
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
+
 log = logging.getLogger(__name__)
 
 
@@ -150,10 +154,24 @@
             pass
         return False
 
+    def is_delivered(self) -> bool:
+        """Returns whether the backend's machine has acknowledged the whole request."""
+        exchange = self.exchange
+        if exchange is None or not exchange.written or self.transport.is_closing():
+            return False
+        return not (self.transport.get_write_buffer_size() or unacknowledged_bytes(self.transport))
+
     def close(self, reason: UpstreamCloseReason) -> None:
-        """Closes the connection in both directions at once; pending data is not sent."""
+        """Closes the connection in both directions at once; pending data is not sent.
+
+        The kernel would go on to send its part of the request, so it resets the connection instead: a request
+        that has been given up must not arrive whole later.
+        """
         if self.closed:
             return
+        if self.exchange and not self.transport.is_closing() and not self.is_delivered():
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.closed = True
         self.owner.event_log.event("backend connection closed", reason.value, backend=self.owner.name)
         with contextlib.suppress(OSError):
@@ -170,8 +188,8 @@
         Without a `result`, the outcome depends on whether the last byte of the request was written.
         """
         exchange = self.exchange
-        self.exchange = None
         self.close(reason)
+        self.exchange = None
         stream = self.stream
         self.stream = None
         if stream:
--- a/quota_ingress/net/upstream/exchange.py
+++ b/quota_ingress/net/upstream/exchange.py
@@ -27,6 +27,9 @@
     def forward_body(self) -> None:
         """Writes more of the request body."""
 
+    def is_delivered(self) -> bool:
+        """Returns whether the backend's machine has acknowledged the whole request."""
+
     def close(self, reason: UpstreamCloseReason) -> None:
         """Closes the connection at once; pending data is not sent."""
 
@@ -76,6 +79,11 @@
         self.ended = False
         self.last_progress_at = 0.0  # s of the loop's clock: last write or read of a part
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the backend's machine has acknowledged the whole request."""
+        return self.connection is not None and self.connection.is_delivered()
+
     def finish(self, result: AttemptResult) -> None:
         """Ends the attempt with `result`, unless it has ended."""
         if not self.ended:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -166,6 +167,11 @@
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
+    def limit_receive_buffers(self, size: int) -> None:
+        """Sets the kernel's receive buffer of the connections that are accepted from now on."""
+        for sock in self._server.sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(10):
             while not condition():
--- a/tests/test_send_rules.py
+++ b/tests/test_send_rules.py
@@ -32,6 +32,7 @@
     send_first,
 )
 from tests.support.fake_network import FakeNetwork
+from tests.support.streaming import save
 
 NOW = 50_000_000
 DEADLINE = NOW + 1_000_000
@@ -54,6 +55,19 @@
     return int(peer.data.partition(b"Request-Timeout: ")[2].partition(b"m")[0]) / 1000
 
 
+def set_window(ingress: Ingress, window: int) -> None:
+    """Sets the deduplication window (us) of the class with an idempotency key."""
+    classes = tuple(
+        replace(c, deduplication_window=window) if c.name == "save" else c for c in SETTINGS.classes
+    )
+    ingress.engine.attempt_runner.settings = replace(SETTINGS, classes=classes)
+
+
+def retry_after_reset(event: Event) -> list[Action]:
+    is_reset = isinstance(event, AttemptEnded) and event.outcome is Outcome.RESET
+    return [SendAttempt(1, 1, 0)] if is_reset else send_first(event)
+
+
 @pytest.mark.parametrize("timeout", [2.0, 0.9])
 async def test_a_backend_with_a_delayed_connection_gets_the_remaining_timeout(
     ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch, timeout: float
@@ -71,16 +85,7 @@
     ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The policy decides on the retry within the window, but its connection is established after it."""
-    window = 600_000
-    classes = tuple(
-        replace(c, deduplication_window=window) if c.name == "save" else c for c in SETTINGS.classes
-    )
-    ingress.engine.attempt_runner.settings = replace(SETTINGS, classes=classes)
-
-    def retry_after_reset(event: Event) -> list[Action]:
-        is_reset = isinstance(event, AttemptEnded) and event.outcome is Outcome.RESET
-        return [SendAttempt(1, 1, 0)] if is_reset else send_first(event)
-
+    set_window(ingress, 600_000)
     ingress.script.rule = retry_after_reset
     response = asyncio.create_task(ingress.fetch(request("r0", "save", Idempotency_Key="k")))
     await backend.wait_until(lambda: any(b"r0" in peer.data for peer in backend.peers))
@@ -94,6 +99,55 @@
     ]
 
 
+@pytest.mark.parametrize("body_bytes", [900_000, 50_000])
+async def test_a_retry_with_key_whose_last_byte_would_miss_the_deduplication_window_never_arrives(
+    ingress: Ingress, backend: PeerServer, body_bytes: int
+) -> None:
+    """Guards against running a keyed request twice at a backend that reads slowly.
+
+    The backend reads on only after the window. The rest of the long body waits in the ingress until then,
+    that of the short one in the kernel, which would go on to send it after the connection is closed.
+    """
+    set_window(ingress, 600_000)
+    ingress.script.rule = retry_after_reset
+    backend.limit_receive_buffers(4096)
+
+    def reset_first_and_pause_others(peer: Peer) -> None:
+        if peer is not backend.peers[0]:
+            peer.transport.pause_reading()
+        elif peer.data.endswith(body):
+            peer.transport.abort()  # the attempt may have run
+
+    backend.on_data = reset_first_and_pause_others
+    body = b"q" * (body_bytes - 1) + b"!"
+    response = asyncio.create_task(ingress.fetch(save(f"Content-Length: {body_bytes}") + body))
+    await backend.wait_until(lambda: len(backend.peers) == 2 and b"POST" in backend.peers[1].data)
+    await asyncio.sleep(0.8)
+    backend.on_data = lambda peer: None
+    backend.peers[1].transport.resume_reading()
+    await backend.wait_until(lambda: backend.peers[1].data.endswith(b"!") or len(backend.closed) == 2)
+    assert not backend.peers[1].data.endswith(b"!")
+    assert b" 502 " in await response
+
+
+def test_an_attempt_that_a_hedged_request_overtakes_ends_with_the_window_of_the_hedged_request() -> None:
+    """Guards against running a keyed request twice if its first attempt arrives long after a later one."""
+    hedge = [SendAttempt(1, 1, 0), SendAttempt(1, 2, 0)]
+    network = FakeNetwork(Script(lambda event: hedge if isinstance(event, RequestArrived) else []))
+    classes = tuple(
+        replace(c, idempotency=Idempotency.WITH_KEY, deduplication_window=400_000) for c in SETTINGS.classes
+    )
+    network.engine.attempt_runner.settings = replace(
+        SETTINGS, classes=classes, limits=replace(SETTINGS.limits, may_hedge=True)
+    )
+    network.submit_request()
+    network.sent[0].delivered = False
+    network.pass_time(400_000 - WRITE_DELAY - 1)
+    assert not network.sent[0].aborted
+    network.pass_time(1)
+    assert [exchange.aborted for exchange in network.sent] == [True, False]
+
+
 async def test_a_connect_that_is_withdrawn_before_its_task_starts_frees_its_descriptor(
     backend: PeerServer,
 ) -> None:
