Start the deadline of a streamed body at its arrival: a hanging backend put it off

What callers saw: for a body over 1 MiB whose backend hangs, the answer came 4.5 to 5.5 s after the last byte with a Request-Timeout of 2.5 s; such a request counts as lost.

Cause: the deadline started when the last byte was read.

Change: while reading is paused, BodyArrival asks the kernel whether the rest of the body is there; Engine.on_body_arrived starts the deadline from the last time at which the last byte was missing (event "body", "unread"). The time told to a backend follows the deadline from then on.

The regression test, with a length and with chunks, got no answer in time before.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -6,6 +6,7 @@
 import contextlib
 
 from quota_ingress.net.downstream import response
+from quota_ingress.net.downstream.body_arrival import BodyArrival
 from quota_ingress.net.downstream.close_reason import UNANSWERED_ALLOWED, CloseReason
 from quota_ingress.net.downstream.host import ConnectionHost
 from quota_ingress.net.downstream.pipeline import RequestPipeline, must_be_streamed
@@ -47,6 +48,7 @@
         self._read_flow = ReadFlow(queued_since)
         self._pipeline = RequestPipeline()
         self._writer = ResponseWriter()
+        self._body_arrival: BodyArrival | None = None  # of the streamed body of the current request
         self._close_reason: CloseReason | None = None  # None until this side closes the connection
         self._over_limit = False  # accepted above the descriptor limit, so its requests are rejected
         self._message_started_at = 0
@@ -223,15 +225,28 @@
 
     def _pause_reading_if_full(self) -> None:
         if not self._read_flow.paused and self._pipeline.is_full() and not self.transport.is_closing():
-            self._read_flow.pause(self.transport, self._host.now(), self._abort_after_disconnect)
+            self._read_flow.pause(
+                self.transport, self._host.now(), self._abort_after_disconnect, self._check_body_arrival
+            )
+            self._check_body_arrival()
 
     def _resume_reading_if_drained(self) -> None:
         if self._read_flow.paused and self._pipeline.is_drained() and not self.transport.is_closing():
+            self._check_body_arrival()
             self._last_data_at = self._host.now()
             # The time of the pause does not count towards the client's timeout.
             self._message_started_at += self._last_data_at - self._read_flow.paused_at
             self._read_flow.resume(self.transport)
 
+    def _check_body_arrival(self) -> None:
+        """Starts the deadline of the current request if its last byte has arrived but is unread."""
+        request_id = self._pipeline.engine_request_id
+        if self._body_arrival is None or request_id is None or self._pipeline.current_is_complete:
+            return
+        arrived_at = self._body_arrival.check(self.transport, self._host.now())
+        if arrived_at is not None:
+            self._engine.on_body_arrived(request_id, arrived_at)
+
     def _abort_after_disconnect(self) -> None:
         self.abort(CloseReason.CLIENT_LEFT)
 
@@ -253,6 +268,7 @@
 
     def _start_next_request(self) -> None:
         message = self._pipeline.take_next()
+        self._body_arrival = None
         self._keep_alive = message.keep_alive and (not self._over_limit or self._has_more_input())
         self._stages.start_request(self)
         if message.target.partition(b"?")[0] == HEALTH_CHECK_PATH:
@@ -286,8 +302,9 @@
             self._stages.receiving_body.discard(self)
         if self._pipeline.engine_request_id is not None:
             body.on_update()
-            if body.complete:
-                self._engine.on_body_complete(self._pipeline.engine_request_id, message.completed_at)
+            if body.complete and self._body_arrival:
+                arrived_at = self._body_arrival.latest(message.completed_at)
+                self._engine.on_body_complete(self._pipeline.engine_request_id, arrived_at)
             return
         parsed = self._pipeline.parsed
         if parsed is None or not (body.complete or must_be_streamed(body)):
@@ -300,6 +317,7 @@
             parsed.head = encode_forwarded_head(message, parsed.id)
         elif not body.complete:
             body.on_drained = self._resume_reading_if_drained
+            self._body_arrival = BodyArrival(body)
         self._pipeline.engine_request_id = parsed.id
         if not self._engine.on_request(parsed, self):
             self._write_response(409, b"", b"a request with this Request-Id is under way\n")
--- a/quota_ingress/net/downstream/read_flow.py
+++ b/quota_ingress/net/downstream/read_flow.py
@@ -7,7 +7,7 @@
 
 from quota_ingress.net.socket_state import peer_has_closed, time_since_last_data_us, unread_bytes
 
-CLIENT_LEFT_CHECK_INTERVAL_S = 0.1  # while reading is paused
+PAUSE_CHECK_INTERVAL_S = 0.1  # while reading is paused
 
 
 class ReadFlow:
@@ -45,12 +45,22 @@
         age = time_since_last_data_us(transport)
         return earliest if age is None else max(earliest, now - age)
 
-    def pause(self, transport: asyncio.Transport, now: int, on_client_left: Callable[[], None]) -> None:
-        """Pauses reading until `resume`. Calls `on_client_left` if the client disconnects meanwhile."""
+    def pause(
+        self,
+        transport: asyncio.Transport,
+        now: int,
+        on_client_left: Callable[[], None],
+        on_check: Callable[[], None],
+    ) -> None:
+        """Pauses reading until `resume`.
+
+        Meanwhile `on_check` is called every PAUSE_CHECK_INTERVAL_S, until the client disconnects: then
+        `on_client_left` is called once.
+        """
         self.paused = True
         self.paused_at = now
         transport.pause_reading()
-        self._schedule_client_check(transport, on_client_left)
+        self._schedule_check(transport, on_client_left, on_check)
 
     def resume(self, transport: asyncio.Transport) -> None:
         """Resumes reading; data that is unread now is dated to the start of the pause."""
@@ -58,20 +68,25 @@
         self._catching_up = True
         transport.resume_reading()
 
-    def _schedule_client_check(
-        self, transport: asyncio.Transport, on_client_left: Callable[[], None]
+    def _schedule_check(
+        self, transport: asyncio.Transport, on_client_left: Callable[[], None], on_check: Callable[[], None]
     ) -> None:
         asyncio.get_running_loop().call_later(
-            CLIENT_LEFT_CHECK_INTERVAL_S, self._check_client, transport, on_client_left, self.paused_at
+            PAUSE_CHECK_INTERVAL_S, self._check, transport, on_client_left, on_check, self.paused_at
         )
 
-    def _check_client(
-        self, transport: asyncio.Transport, on_client_left: Callable[[], None], paused_at: int
+    def _check(
+        self,
+        transport: asyncio.Transport,
+        on_client_left: Callable[[], None],
+        on_check: Callable[[], None],
+        paused_at: int,
     ) -> None:
-        """Polls the socket for a disconnect, which the transport does not report while reading is paused."""
+        """Polls the socket: while reading is paused, the transport reports neither data nor a disconnect."""
         if not self.paused or self.paused_at != paused_at or transport.is_closing():
             return
         if peer_has_closed(transport):
             on_client_left()
         else:
-            self._schedule_client_check(transport, on_client_left)
+            on_check()
+            self._schedule_check(transport, on_client_left, on_check)
--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -63,8 +63,7 @@
         attempt = Attempt(len(request.attempts), endpoint, now)
         self._owner.check_disconnected(request)
         parsed = request.parsed
-        time_left = parsed.timeout if request.receiving_body else request.deadline - now
-        time_left -= RESPONSE_MARGIN
+        time_left = request.time_left(now) - RESPONSE_MARGIN
         attempt.response_timeout = min(timeout, time_left) if timeout else time_left
         request.attempts.append(attempt)
         request.attempts_in_flight += 1
@@ -156,8 +155,7 @@
         if self._is_denied(request, attempt, now):
             return None
         body = request.parsed.body
-        elapsed = 0 if request.receiving_body else now - attempt.sent_at
-        time_left = attempt.response_timeout - elapsed
+        time_left = _time_left(request, attempt, now)
         self._event_log.event(
             "attempt",
             "begun",
@@ -170,14 +168,13 @@
         return b"Request-Timeout: %dm\r\n\r\n%b" % (max(1, time_left // 1000), buffered_body)
 
     def _is_denied(self, request: Request, attempt: Attempt, now: int) -> bool:
-        waiting_since = now if request.receiving_body else attempt.sent_at
         reason = denial(
             request,
             attempt,
             self.settings.classes[request.parsed.request_class],
             self.settings.limits,
             now,
-            waiting_since + attempt.response_timeout,
+            now + _time_left(request, attempt, now),
         )
         if reason is None:
             return False
@@ -256,5 +253,14 @@
         return max(0, self._now() - started_at)
 
 
+def _time_left(request: Request, attempt: Attempt, now: int) -> int:
+    """Returns how long, in us, an attempt may wait for a response from `now` on.
+
+    Its own timeout does not run while the body of the request is being received.
+    """
+    elapsed = 0 if request.receiving_body else now - attempt.sent_at
+    return min(attempt.response_timeout - elapsed, request.time_left(now) - RESPONSE_MARGIN)
+
+
 def _in_flight(request: Request) -> list[Attempt]:
     return [attempt for attempt in request.attempts if not attempt.ended]
--- a/quota_ingress/net/engine/engine.py
+++ b/quota_ingress/net/engine/engine.py
@@ -127,7 +127,8 @@
         request = self._requests.add(parsed, client, now + time_left)
         self.in_flight += 1
         if parsed.body.complete:
-            self._start_deadline(request, now)
+            request.body_complete_at = now
+            self._start_deadline(request)
         self.post(
             RequestArrived(
                 request.number,
@@ -143,12 +144,28 @@
         )
         return True
 
-    def on_body_complete(self, request_id: bytes, received_at: int) -> None:
-        """Starts the deadline of a request whose streamed body became complete at `received_at` (us)."""
+    def on_body_arrived(self, request_id: bytes, arrived_at: int) -> None:
+        """Starts the deadline of a request whose last byte arrived at this machine at `arrived_at` (us).
+
+        The rest of its streamed body may still be unread, as the backend does not accept more.
+        """
+        request = self._requests.with_id(request_id)
+        if request and not request.answered and request.timer is None:
+            self.event_log.event("body", "unread", id=request_id, waited_us=self.now() - arrived_at)
+            request.deadline = arrived_at + request.parsed.timeout
+            self._start_deadline(request)
+
+    def on_body_complete(self, request_id: bytes, arrived_at: int) -> None:
+        """Starts the attempts' timeouts, and the deadline if it is not running: the whole body has been read.
+
+        `arrived_at` (us) is when its last byte arrived at this machine.
+        """
         request = self._requests.with_id(request_id)
         if request and not request.answered and request.body_complete_at is None:
-            request.deadline = received_at + request.parsed.timeout
-            self._start_deadline(request, self.now())
+            request.body_complete_at = self.now()
+            if request.timer is None:
+                request.deadline = arrived_at + request.parsed.timeout
+                self._start_deadline(request)
             for attempt in request.attempts:
                 if not attempt.ended:
                     self.attempt_runner.start_timer(request, attempt)
@@ -196,9 +213,8 @@
             return "too many in flight"
         return ""
 
-    def _start_deadline(self, request: Request, now: int) -> None:
-        request.body_complete_at = now
-        time_left = request.deadline - now - ANSWER_MARGIN
+    def _start_deadline(self, request: Request) -> None:
+        time_left = request.deadline - self.now() - ANSWER_MARGIN
         request.timer = self._loop.call_later(time_left / US_PER_SECOND, self._on_deadline, request)
 
     def _on_deadline(self, request: Request) -> None:
--- a/quota_ingress/net/engine/requests.py
+++ b/quota_ingress/net/engine/requests.py
@@ -35,7 +35,8 @@
     Attributes:
         answered: Whether the final answer has been sent, or the client has disconnected.
         attempts_in_flight: The number of attempts that have not ended.
-        body_complete_at: When the engine started the deadline timer, as the body was complete; None before.
+        body_complete_at: When the whole body had been received; None before.
+        timer: The timer of the deadline; None before the last byte has arrived at this machine.
     """
 
     __slots__ = (
@@ -64,9 +65,13 @@
 
     @property
     def receiving_body(self) -> bool:
-        """Whether the body is incomplete."""
+        """Whether the body is incomplete. Its last byte may have arrived but be unread in the socket."""
         return self.body_complete_at is None
 
+    def time_left(self, now: int) -> int:
+        """Returns the time until the deadline in us; before the last byte has arrived, all of the timeout."""
+        return self.parsed.timeout if self.timer is None else self.deadline - now
+
     @property
     def body_forwarded(self) -> bool:
         """Whether part of the body has been sent to an endpoint and is no longer buffered."""
--- a/quota_ingress/net/http/__init__.py
+++ b/quota_ingress/net/http/__init__.py
@@ -5,6 +5,7 @@
 from quota_ingress.net.http.memory_budget import MemoryBudget
 from quota_ingress.net.http.message_reader import (
     MAX_HEAD_BYTES,
+    MAX_TRAILER_BYTES,
     FramingError,
     Message,
     MessageReader,
@@ -15,6 +16,7 @@
 __all__ = [
     "BODY_BUFFER_BYTES",
     "MAX_HEAD_BYTES",
+    "MAX_TRAILER_BYTES",
     "WRITE_BUFFER_BYTES",
     "Body",
     "EncodedPart",
--- a/tests/test_arrival_time.py
+++ b/tests/test_arrival_time.py
@@ -6,12 +6,18 @@
 import socket
 import time
 
+import pytest
+
 from quota_ingress.policy.events import RequestArrived
 from tests.net_helpers import HOST, OK, Ingress, PeerServer, Script, request, send_first, single_endpoint_list
+from tests.support.streaming import save
 
 TIMEOUT = 2.0  # s, sent by each client
 
 
+ALLOWED_LATE = 0.5  # s after its time an answer is lost
+
+
 SLACK = 0.15  # s by which the timeout forwarded to a backend may exceed the client's time left
 
 
@@ -60,6 +66,26 @@
     writer.close()
 
 
+@pytest.mark.parametrize("framing", ["Content-Length: 1200000", "Transfer-Encoding: chunked"])
+async def test_a_request_whose_last_byte_is_unread_while_its_backend_hangs_is_answered_in_its_time(
+    ingress: Ingress, backend: PeerServer, framing: str
+) -> None:
+    """Guards against a late answer: reading is paused, so the last byte waits in the socket."""
+    backend.limit_receive_buffers(4096)
+    backend.on_data = lambda peer: peer.transport.pause_reading()
+    chunked = "chunked" in framing
+    body = b"124f80\r\n%b\r\n0\r\n\r\n" if chunked else b"%b"
+    data = save(framing, timeout="1000m") + body % (b"q" * 1_200_000)
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    writer.write(data[:-20_000])
+    await backend.wait_until(lambda: any(b"POST" in peer.data for peer in backend.peers))
+    await asyncio.sleep(0.5)
+    writer.write(data[-20_000:])
+    async with asyncio.timeout(1.0 + ALLOWED_LATE):
+        assert b" 504 " in await reader.readline()
+    writer.close()
+
+
 async def test_a_request_from_the_accept_queue_is_forwarded_with_its_remaining_time(
     ingress: Ingress, backend: PeerServer
 ) -> None:
--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -54,7 +54,7 @@
 @pytest_asyncio.fixture
 async def ingress(backend: PeerServer, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Ingress]:
     """An ingress that does not poll paused connections, so that only attempts detect a disconnect."""
-    monkeypatch.setattr(read_flow, "CLIENT_LEFT_CHECK_INTERVAL_S", 60.0)
+    monkeypatch.setattr(read_flow, "PAUSE_CHECK_INTERVAL_S", 60.0)
     ingress = Ingress(Script())
     await ingress.start()
     ingress.engine.update_endpoints(single_endpoint_list(backend.port))
--- a/tests/test_client_disconnect_races.py
+++ b/tests/test_client_disconnect_races.py
@@ -53,7 +53,7 @@
     ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The response to the first request arrives before the periodic check for a disconnect."""
-    monkeypatch.setattr(read_flow, "CLIENT_LEFT_CHECK_INTERVAL_S", 60.0)
+    monkeypatch.setattr(read_flow, "PAUSE_CHECK_INTERVAL_S", 60.0)
     _, writer = await asyncio.open_connection(HOST, ingress.port)
     writer.write(b"".join(request(f"r{n}") for n in range(12)))
     await backend.wait_until(lambda: received_request_ids(backend) == [b"r0"])
