Evict for connections that wait in the accept queue: a crowd in half heads held them up

What callers saw: behind 1,200 clients that stop in a head, requests on new connections with 2.5 s got 429 after 6 to 11 s.

Cause: at Listener.hard_limit accepting stopped until a connection closed by itself; evict_one ran only for a connection that was just being accepted.

Change: at the hard limit the listener evicts for one that waits.

--- a/quota_ingress/net/acceptor.py
+++ b/quota_ingress/net/acceptor.py
@@ -20,6 +20,7 @@
 import errno
 import logging
 import os
+import select
 import socket
 from collections.abc import Callable
 from enum import Enum, auto
@@ -114,6 +115,23 @@
         self._retry_timer: asyncio.TimerHandle | None = None
         self._opening: set[asyncio.Task[None]] = set()
 
+    @property
+    def queued_since(self) -> float | None:
+        """Loop time (s) since which connections may have waited in the queue; None if it was found empty."""
+        return self._paused_at
+
+    def has_waiting(self) -> bool:
+        """Returns whether a connection waits in the queue."""
+        if self._socket.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        if poll.poll(0):
+            return True
+        if self._paused_at is not None:
+            self._paused_at = self._loop.time()
+        return False
+
     def start(self) -> None:
         """Accepts connections until `pause`, or until `has_capacity` refuses one; no effect if started.
 
--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -87,6 +87,8 @@
         super().data_received(data)
         if self.reader.in_message:
             self._last_data_at = self._host.now()
+            if self._in_head and self in self._stages.open:
+                self._stages.receive_head(self, self._last_data_at)
 
     def message_started(self) -> None:
         """Starts the timeout of a request at its first byte."""
@@ -157,8 +159,7 @@
 
     def is_stalled(self, before: int) -> bool:
         """Whether a head is incomplete, with no byte received since `before` (us) and none unread."""
-        in_head = self.reader.in_message and not (self._pipeline.waiting or self._pipeline.has_current)
-        if not in_head or self.transport.is_closing():
+        if not self._in_head or self.transport.is_closing():
             return False
         return self._last_data_at < before and not unread_bytes(self.transport)
 
@@ -252,6 +253,11 @@
 
     # Requests, in order.
 
+    @property
+    def _in_head(self) -> bool:
+        """Whether the next request has begun, and its head is incomplete."""
+        return self.reader.in_message and not (self._pipeline.waiting or self._pipeline.has_current)
+
     @property
     def _has_current_request(self) -> bool:
         return self._pipeline.has_current or self._writer.body is not None
--- a/quota_ingress/net/downstream/listener.py
+++ b/quota_ingress/net/downstream/listener.py
@@ -9,7 +9,7 @@
 from quota_ingress.net.descriptors import DescriptorBudget
 from quota_ingress.net.downstream.close_reason import CloseReason
 from quota_ingress.net.downstream.connection import ClientConnection
-from quota_ingress.net.downstream.eviction import evict_one
+from quota_ingress.net.downstream.eviction import MAX_QUEUE_WAIT_S, STALL_TIMEOUT_S, evict_one
 from quota_ingress.net.downstream.process_delay import ProcessDelayMonitor
 from quota_ingress.net.downstream.request_parser import RequestParser
 from quota_ingress.net.downstream.stages import ConnectionStages, StagedConnection
@@ -19,6 +19,7 @@
 
 SWEEP_INTERVAL_S = 0.25
 CAPACITY_CHECK_INTERVAL_S = 0.01  # while the backlog is accepted at shutdown
+EVICTION_INTERVAL_S = 0.05  # at the hard limit, while no connection closes
 MIN_MAX_IDLE = 4  # lower bound of `max_idle`
 MAX_IDLE_FRACTION = 0.25  # of the client descriptors; clients have a limited number of connections, too
 
@@ -55,6 +56,7 @@
         self.handed_over = False
         self.out_of_service = False
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._eviction_timer: asyncio.TimerHandle | None = None
         self._acceptor: Acceptor | None = None
         self._delay_monitor = ProcessDelayMonitor(engine.event_log, int(SWEEP_INTERVAL_S * US_PER_S))
         self.descriptors.evict = self._evict
@@ -101,6 +103,7 @@
 
     def pause_accepting(self) -> None:
         """Leaves new connections in the accept queue."""
+        self._cancel_eviction()
         if self._acceptor:
             self._acceptor.pause()
 
@@ -111,6 +114,7 @@
 
     def stop_listening(self) -> None:
         """Closes the listening socket. Open connections remain, as a request may be on its way on them."""
+        self._cancel_eviction()
         if self._acceptor:
             self._acceptor.close()
             self._acceptor = None
@@ -173,10 +177,31 @@
         return ClientConnection(self, self.now() - int(queued_s * US_PER_S))
 
     def _has_capacity(self, pending: int) -> bool:
-        return self.descriptors.in_use + pending < self.hard_limit
+        """Returns whether one more connection may be accepted; if not, makes room for one that waits."""
+        if self.descriptors.in_use + pending < self.hard_limit:
+            return True
+        if self._acceptor and self._acceptor.has_waiting():
+            self._evict()
+        if self._eviction_timer is None:
+            loop = asyncio.get_running_loop()
+            self._eviction_timer = loop.call_later(EVICTION_INTERVAL_S, self._retry_accepting)
+        return False
+
+    def _cancel_eviction(self) -> None:
+        if self._eviction_timer:
+            self._eviction_timer.cancel()
+            self._eviction_timer = None
+
+    def _retry_accepting(self) -> None:
+        self._eviction_timer = None
+        self.resume_accepting()
 
     def _evict(self) -> bool:
-        return evict_one(self.stages, self.now())
+        """Evicts a connection, one with a head that has just stalled only if clients wait for long."""
+        queued_since = self._acceptor.queued_since if self._acceptor else None
+        waited_s = 0.0 if queued_since is None else asyncio.get_running_loop().time() - queued_since
+        stall_timeout_s = 0.0 if waited_s > MAX_QUEUE_WAIT_S else STALL_TIMEOUT_S
+        return evict_one(self.stages, self.now(), stall_timeout_s)
 
     def _sweep(self) -> None:
         self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/quota_ingress/net/downstream/stages.py
+++ b/quota_ingress/net/downstream/stages.py
@@ -39,8 +39,9 @@
 class ConnectionStages:
     """All open connections, by stage.
 
-    Mappings give the time (us) at which a connection entered the stage, the earliest first, except that
-    `write_blocked` gives the time of the last read progress, in no order. A connection is in at most one of
+    Mappings give the time (us) at which a connection entered the stage, the earliest first. `partial_heads`
+    gives the time of the last byte instead, the earliest first, and `write_blocked` that of the last read
+    progress, in no order. A connection is in at most one of
     `awaiting_first_request`, `receiving_head` and `idle`. While a request is being handled, it is in none of
     them, except that it stays in `awaiting_first_request` until its first request has been validated.
 
@@ -48,6 +49,7 @@
         open: All connections.
         awaiting_first_request: No valid request has been received yet.
         receiving_head: The second or a later request has begun, and its head is incomplete.
+        partial_heads: Part of a request's head has been received. These are in other stages, too.
         idle: Between requests, with nothing of the next one received.
         receiving_body: A request's head is complete, and its body is incomplete.
         write_blocked: The client does not read its response.
@@ -58,6 +60,7 @@
         self.open: set[StagedConnection] = set()
         self.awaiting_first_request: dict[StagedConnection, int] = {}
         self.receiving_head: dict[StagedConnection, int] = {}
+        self.partial_heads: dict[StagedConnection, int] = {}
         self.idle: dict[StagedConnection, int] = {}
         self.receiving_body: set[StagedConnection] = set()
         self.write_blocked: dict[StagedConnection, int] = {}
@@ -81,8 +84,14 @@
         if self.idle.pop(connection, None) is not None:
             self.receiving_head[connection] = now
 
+    def receive_head(self, connection: StagedConnection, now: int) -> None:
+        """Moves a connection to the end of `partial_heads`: a byte of an incomplete head was received."""
+        self.partial_heads.pop(connection, None)
+        self.partial_heads[connection] = now
+
     def start_request(self, connection: StagedConnection) -> None:
         """Removes a connection from `receiving_head` and `idle`: a request's head is complete."""
+        self.partial_heads.pop(connection, None)
         self.receiving_head.pop(connection, None)
         self.idle.pop(connection, None)
 
@@ -92,6 +101,7 @@
 
     def continue_head(self, connection: StagedConnection, now: int) -> None:
         """Adds a connection to `receiving_head` after a response: part of the next head was received."""
+        self.receive_head(connection, now)
         self.receiving_head[connection] = now
         self.awaiting_first_request.pop(connection, None)
 
@@ -111,7 +121,8 @@
         self.lingering[connection] = now
 
     def stop_awaiting_request(self, connection: StagedConnection) -> None:
-        """Removes the connection from `awaiting_first_request`, `receiving_head` and `idle`."""
+        """Removes the connection from the stages before the head of its next request is complete."""
+        self.partial_heads.pop(connection, None)
         self.awaiting_first_request.pop(connection, None)
         self.receiving_head.pop(connection, None)
         self.idle.pop(connection, None)
--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
+from quota_ingress.net.downstream.eviction import evict_one
 from quota_ingress.policy.events import RequestArrived
 from tests.net_helpers import (
     HOST,
@@ -14,6 +16,7 @@
     read_statuses,
     request,
 )
+from tests.support.streaming import save
 
 pytestmark = pytest.mark.usefixtures("backend_answers")
 
@@ -101,6 +104,57 @@
         writer.close()
 
 
+async def connect_and_send(ingress: Ingress, data: bytes) -> socket.socket:
+    """Connects and sends before the event loop can accept the connection."""
+    sock = socket.create_connection((HOST, ingress.port))
+    sock.send(data)
+    await asyncio.sleep(0)
+    return sock
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"",
+        request("x")[:30],
+        request() + request("x")[:30],
+        save("Content-Length: 100") + b"half",
+        save("Content-Length: 200000") + b"half",
+    ],
+)
+async def test_a_request_behind_a_crowd_is_answered_in_its_time(ingress: Ingress, part: bytes) -> None:
+    """Guards against waiting in the accept queue for the timeouts of clients that stop before a request ends.
+
+    Six rounds of the crowd fit into the descriptors; a round used to last until the timeout of a head.
+    """
+    ingress.sockets.clients.limit, ingress.listener.hard_limit = 8, 10
+    crowd = [await connect_and_send(ingress, part.replace(b": a1", b": c%d" % n)) for n in range(60)]
+    async with asyncio.timeout(1.5):
+        answer = await ingress.fetch(request("r0", timeout="1000m"))
+    assert answer.split()[1] in (b"200", b"503")
+    assert len(ingress.listener.connections) <= 10
+    for sock in crowd:
+        sock.close()
+
+
+async def test_the_longest_stalled_head_is_evicted_first(ingress: Ingress) -> None:
+    crowd = [await asyncio.open_connection(HOST, ingress.port) for _ in range(3)]
+    stages, head = ingress.listener.stages, request("x")
+    parts = (0, head[:9]), (1, head[:9]), (2, head[:9]), (0, head[9:18])  # the first one goes on at last
+    for number, part in parts:
+        now = ingress.listener.now()
+        crowd[number][1].write(part)
+        async with asyncio.timeout(5):
+            while max(stages.partial_heads.values(), default=0) <= now:
+                await asyncio.sleep(0)
+    assert evict_one(stages, ingress.listener.now() + 1, stall_timeout_s=0.0)
+    async with asyncio.timeout(5):
+        assert await crowd[1][0].read() == b""
+    assert len(stages.partial_heads) == 2
+    for _, writer in crowd:
+        writer.close()
+
+
 async def test_a_connection_is_not_evicted_with_a_request_unread(ingress: Ingress) -> None:
     """Guards against closing a new connection as idle while its first request is unread.
 
