Give a steady slow reader the time of its receive buffer: it was cut off as unread

What callers saw: a response of 32 MB, read at a steady 64 kB/s with a receive buffer of 256 kB, was aborted after 4.2 s.

Cause: the timeout ran from the last acknowledged byte, and a kernel with a full buffer acknowledges in steps: 520 kB at once, then 320 kB every 5 s in a trace of tcp_info.

Change: the timeout is the time to read twice the largest window offered, at the rate seen, at no less than 64 kB/s; 4 s at least, as before.

The new test was cut off after 1.1 MB before.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -13,7 +13,7 @@
 from quota_ingress.net.downstream.read_flow import ReadFlow
 from quota_ingress.net.downstream.request_parser import InvalidRequestError, encode_forwarded_head
 from quota_ingress.net.downstream.response_writer import ResponseWriter, StreamState
-from quota_ingress.net.downstream.timeouts import is_body_too_slow
+from quota_ingress.net.downstream.timeouts import is_body_too_slow, unread_timeout_us
 from quota_ingress.net.engine.ports import AttemptResult
 from quota_ingress.net.http import (
     WRITE_BUFFER_BYTES,
@@ -64,6 +64,7 @@
         self._over_limit = not self._host.descriptors.ensure_capacity()
         self._host.descriptors.acquire()
         self._message_started_at = self._host.now()
+        self._writer.measured_since = self._message_started_at
         self._stages.add(self, self._message_started_at)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -169,6 +170,11 @@
         if not closing and self._writer.client_has_read_more(self.transport):
             self._stages.write_blocked[self] = now
 
+    def unread_timeout(self, now: int) -> int:
+        """Returns how long, in us, the client's kernel may acknowledge nothing while a response waits."""
+        writer = self._writer
+        return unread_timeout_us(writer.bytes_read, now - writer.measured_since, writer.largest_window)
+
     def close_if_idle(self, reason: CloseReason = CloseReason.IDLE) -> bool:
         """Closes the connection unless a request is open or unread. Returns whether it was closed."""
         if self.is_busy or self.transport.is_closing() or unread_bytes(self.transport):
@@ -208,7 +214,7 @@
         if is_http_1_0 and body.declared_length is None:
             self._keep_alive = False  # in HTTP/1.0 such a body is delimited by the end of the connection
         self._keep_alive = self._can_keep_alive()
-        self._writer.start_stream(body)
+        self._writer.start_stream(body, self._host.now())
         head = response.encode_stream_head(answer.content_type, body, self._keep_alive)
         self._writer.write(self.transport, head)
         body.on_update = self._forward_response_body
--- a/quota_ingress/net/downstream/response_writer.py
+++ b/quota_ingress/net/downstream/response_writer.py
@@ -6,7 +6,7 @@
 from enum import Enum, auto
 
 from quota_ingress.net.http import Body
-from quota_ingress.net.socket_state import unacknowledged_bytes
+from quota_ingress.net.socket_state import peer_window, unacknowledged_bytes
 
 
 class StreamState(Enum):
@@ -23,11 +23,26 @@
     Attributes:
         paused: The transport's write buffer is full, as the client does not read.
         body: The response body being streamed, or None.
+        largest_window: Number of bytes that the client's kernel has offered to receive at most.
+        measured_since: Start (us) of the period that `bytes_read` refers to.
+        bytes_read: Number of bytes that the client's kernel has acknowledged since.
     """
 
-    __slots__ = ("_bytes_acknowledged", "_bytes_written", "_offset", "body", "paused")
+    __slots__ = (
+        "_bytes_acknowledged",
+        "_bytes_written",
+        "_offset",
+        "body",
+        "bytes_read",
+        "largest_window",
+        "measured_since",
+        "paused",
+    )
 
     def __init__(self) -> None:
+        self.largest_window = 0
+        self.measured_since = 0
+        self.bytes_read = 0
         self._bytes_written = 0
         self._bytes_acknowledged = 0  # of the bytes written, by the client's kernel
         self._offset = 0  # body offset up to which the body has been written
@@ -39,10 +54,13 @@
         self._bytes_written += len(data)
         transport.write(data)
 
-    def start_stream(self, body: Body) -> None:
-        """Sets the body that subsequent calls of `forward` write."""
+    def start_stream(self, body: Body, now: int) -> None:
+        """Sets the body that subsequent calls of `forward` write. `now` is the process clock in us."""
         self.body = body
         self._offset = 0
+        self.measured_since = now
+        self.bytes_read = 0
+        self._bytes_acknowledged = self._bytes_written
 
     def forward(self, transport: asyncio.Transport) -> StreamState:
         """Writes the body as far as it has been received, while the client reads.
@@ -56,6 +74,7 @@
                 return StreamState.WAITING
             part = body.encode(self._offset)
             self._offset = part.end
+            self.largest_window = max(self.largest_window, peer_window(transport))
             self.write(transport, part.data)
             body.discard(part.end)
             if body.complete and part.end == body.received:
@@ -76,5 +95,6 @@
         acknowledged = self._bytes_written - unsent
         if acknowledged <= self._bytes_acknowledged:
             return False
+        self.bytes_read += acknowledged - self._bytes_acknowledged
         self._bytes_acknowledged = acknowledged
         return True
--- a/quota_ingress/net/downstream/stages.py
+++ b/quota_ingress/net/downstream/stages.py
@@ -23,6 +23,9 @@
     def update_read_progress(self, now: int) -> None:
         """Restarts the unread-response timeout if the client has read more since the last call."""
 
+    def unread_timeout(self, now: int) -> int:
+        """Returns how long, in us, the client's kernel may acknowledge nothing while a response waits."""
+
     def reject_unreadable(self, status: int) -> None:
         """Rejects a malformed or incomplete request with `status` and ends the connection."""
 
--- a/quota_ingress/net/downstream/timeouts.py
+++ b/quota_ingress/net/downstream/timeouts.py
@@ -12,6 +12,8 @@
 BODY_STALL_TIMEOUT_S = 2.0  # without a byte of a body, however fast it arrived before
 LINGER_TIMEOUT_S = 1.0  # for a client still sending after its last response, as it may read that late
 UNREAD_TIMEOUT_S = 4.0  # without a byte read by the client while a response waits
+MIN_READ_BYTES_PER_S = 64_000  # of a client that reads all the time
+WINDOW_MARGIN = 2.0  # receive buffers are larger than the windows that are offered
 REQUEST_TIMEOUT_STATUS = 408
 US_PER_S = 1_000_000
 
@@ -42,9 +44,24 @@
     return now - started_at > US_PER_S * (HEAD_TIMEOUT_S + received / MIN_BODY_BYTES_PER_S)
 
 
+def unread_timeout_us(bytes_read: int, elapsed_us: int, window: int) -> int:
+    """Returns how long, in us, a client's kernel may acknowledge nothing while a response waits.
+
+    The kernel of a client that reads all the time acknowledges in steps: it offers to receive more only once
+    a large part of its buffer is free again. The client is given the time to read all that fits into it.
+
+    Args:
+        bytes_read: Number of bytes acknowledged during `elapsed_us`, which gives the client's rate.
+        elapsed_us: The period in us.
+        window: Number of bytes that the client's kernel has offered to receive at most.
+    """
+    bytes_per_s = max(MIN_READ_BYTES_PER_S, US_PER_S * bytes_read / max(1, elapsed_us))
+    return int(US_PER_S * max(UNREAD_TIMEOUT_S, WINDOW_MARGIN * window / bytes_per_s))
+
+
 def _abort_unread(stages: ConnectionStages, now: int) -> None:
     for connection in list(stages.write_blocked):
         connection.update_read_progress(now)
-    cutoff = now - int(UNREAD_TIMEOUT_S * US_PER_S)
-    for connection in [c for c, since in stages.write_blocked.items() if since < cutoff]:
+    blocked = stages.write_blocked.items()
+    for connection in [c for c, since in blocked if now - since > c.unread_timeout(now)]:
         connection.abort(CloseReason.RESPONSE_UNREAD)
--- a/quota_ingress/net/socket_state.py
+++ b/quota_ingress/net/socket_state.py
@@ -10,6 +10,7 @@
 import termios
 
 TCP_INFO_LAST_DATA_RECV = 52  # offset in bytes of `tcpi_last_data_recv` in `tcp_info` (tcp(7))
+TCP_INFO_SND_WND = 228  # offset in bytes of `tcpi_snd_wnd`, since Linux 5.4
 UINT32_BYTES = 4
 US_PER_MS = 1000
 
@@ -42,12 +43,13 @@
 
     None if the kernel does not provide it.
     """
-    try:
-        sock = transport.get_extra_info("socket")
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_LAST_DATA_RECV + UINT32_BYTES)
-        return US_PER_MS * int(struct.unpack_from("I", info, TCP_INFO_LAST_DATA_RECV)[0])
-    except (OSError, struct.error):
-        return None
+    milliseconds = _tcp_info(transport, TCP_INFO_LAST_DATA_RECV)
+    return None if milliseconds is None else US_PER_MS * milliseconds
+
+
+def peer_window(transport: asyncio.Transport) -> int:
+    """Returns how many bytes the peer's kernel last offered to receive; 0 if this kernel does not tell."""
+    return _tcp_info(transport, TCP_INFO_SND_WND) or 0
 
 
 def peer_has_closed(transport: asyncio.Transport) -> bool:
@@ -57,6 +59,16 @@
     return bool(poll.poll(0))
 
 
+def _tcp_info(transport: asyncio.Transport, offset: int) -> int | None:
+    """Returns the 32-bit field of `tcp_info` at `offset` (bytes); None if the kernel does not provide it."""
+    try:
+        sock = transport.get_extra_info("socket")
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, offset + UINT32_BYTES)
+        return int(struct.unpack_from("I", info, offset)[0])
+    except (OSError, struct.error):
+        return None
+
+
 def _ioctl(transport: asyncio.Transport, request: int) -> int:
     descriptor = transport.get_extra_info("socket").fileno()
     return int.from_bytes(fcntl.ioctl(descriptor, request, bytes(UINT32_BYTES)), "little")
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from quota_ingress.net.downstream import timeouts as timeouts_module
 from quota_ingress.net.downstream.connection import ClientConnection
 from quota_ingress.net.downstream.stages import ConnectionStages
+from quota_ingress.net.downstream.timeouts import UNREAD_TIMEOUT_S, US_PER_S, unread_timeout_us
 from quota_ingress.net.http import MemoryBudget
 from quota_ingress.policy.events import (
     AttemptEnded,
@@ -114,3 +116,39 @@
     assert not connection.is_too_slow(8_900_000) and connection.is_too_slow(9_100_000)
     connection._read_flow.paused = True  # a pause by this side does not count
     assert not connection.is_too_slow(60_000_000)
+
+
+async def test_a_client_that_reads_slowly_with_a_large_buffer_gets_the_whole_response(
+    pair: IngressAndBackend, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against cutting off a steady reader, whose kernel acknowledges in steps.
+
+    The client reads at four times the lowest rate, and the timeouts are a quarter of the usual ones.
+    """
+    monkeypatch.setattr(timeouts_module, "UNREAD_TIMEOUT_S", 1.0)
+    monkeypatch.setattr(timeouts_module, "MIN_READ_BYTES_PER_S", 256_000)
+    loop = asyncio.get_running_loop()
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 256 * 1024)
+    client.setblocking(False)
+    await loop.sock_connect(client, (HOST, pair.ingress.port))
+    await loop.sock_sendall(client, request())
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * len(MEGABYTE)))
+    peer.transport.write(2 * MEGABYTE)
+    began_at, received = loop.time(), 0
+    while received < 2 * len(MEGABYTE):
+        part = await loop.sock_recv(client, 25_600)
+        assert part, f"cut off after {received} bytes"
+        received += len(part)
+        await asyncio.sleep(max(0.0, began_at + received / 256_000 - loop.time()))
+    client.close()
+
+
+def test_the_unread_timeout_depends_on_the_window_and_the_rate() -> None:
+    usual = int(US_PER_S * UNREAD_TIMEOUT_S)
+    assert unread_timeout_us(60_000, US_PER_S, window=64_000) == usual
+    assert unread_timeout_us(0, US_PER_S, window=640_000) == 20 * US_PER_S
+    assert (
+        unread_timeout_us(10_000_000, US_PER_S, window=6_000_000) == usual
+    )  # a fast client that has stopped
