Let the time of a streamed body run from the last byte that came, wherever the rest is

Cause: the deadline of a body behind a hanging backend started only when all of it was seen in the receive buffer.

Change: while bytes are unread, the last byte may be the last one that came; the deadline moves when more comes. Behind a full receive buffer it also moves when the backend accepts more, as a slow one may still serve the request. This replaces the search for the end of a chunked body; its tests give way to tests of the same cases (missing, there, pipelined bytes behind it) and of the full buffer.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -84,6 +84,9 @@
         """Parses the bytes, or discards them if the last response has been written."""
         if self in self._stages.lingering:
             return
+        if self._body_arrival:
+            self._body_arrival.add_read(len(data))
+            self._check_body_arrival(paused=False)
         self.reader.received_at = self._read_flow.arrival_time(self.transport, self._host.now())
         super().data_received(data)
         if self.reader.in_message:
@@ -232,10 +235,10 @@
 
     def _pause_reading_if_full(self) -> None:
         if not self._read_flow.paused and self._pipeline.is_full() and not self.transport.is_closing():
+            self._check_body_arrival(paused=False)
             self._read_flow.pause(
                 self.transport, self._host.now(), self._abort_after_disconnect, self._check_body_arrival
             )
-            self._check_body_arrival()
 
     def _resume_reading_if_drained(self) -> None:
         if self._read_flow.paused and self._pipeline.is_drained() and not self.transport.is_closing():
@@ -245,13 +248,15 @@
             self._message_started_at += self._last_data_at - self._read_flow.paused_at
             self._read_flow.resume(self.transport)
 
-    def _check_body_arrival(self) -> None:
-        """Starts the deadline of the current request if its last byte has arrived but is unread."""
-        request_id = self._pipeline.engine_request_id
-        if self._body_arrival is None or request_id is None or self._pipeline.current_is_complete:
+    def _check_body_arrival(self, paused: bool = True) -> None:
+        """Starts or stops the deadline of the current request, whose last byte may have arrived unread."""
+        request_id, arrival = self._pipeline.engine_request_id, self._body_arrival
+        if arrival is None or request_id is None or self._pipeline.current_is_complete:
             return
-        arrived_at = self._body_arrival.check(self.transport, self._host.now())
-        if arrived_at is not None:
+        arrived_at = arrival.check(self.transport, self._host.now(), paused)
+        if arrived_at is None:
+            self._engine.on_body_missing(request_id)
+        else:
             self._engine.on_body_arrived(request_id, arrived_at)
 
     def _abort_after_disconnect(self) -> None:
@@ -315,7 +320,7 @@
         if self._pipeline.engine_request_id is not None:
             body.on_update()
             if body.complete and self._body_arrival:
-                arrived_at = self._body_arrival.latest(message.completed_at)
+                arrived_at = self._body_arrival.arrived_at
                 self._engine.on_body_complete(self._pipeline.engine_request_id, arrived_at)
             return
         parsed = self._pipeline.parsed
@@ -329,7 +334,7 @@
             parsed.head = encode_forwarded_head(message, parsed.id)
         elif not body.complete:
             body.on_drained = self._resume_reading_if_drained
-            self._body_arrival = BodyArrival(body)
+            self._body_arrival = BodyArrival(body, self._host.now())
         self._pipeline.engine_request_id = parsed.id
         if not self._engine.on_request(parsed, self):
             self._write_response(409, b"", b"a request with this Request-Id is under way\n")
--- a/quota_ingress/net/engine/engine.py
+++ b/quota_ingress/net/engine/engine.py
@@ -128,7 +128,7 @@
         self.in_flight += 1
         if parsed.body.complete:
             request.body_complete_at = now
-            self._start_deadline(request)
+            self._start_deadline(request, request.deadline)
         self.post(
             RequestArrived(
                 request.number,
@@ -145,27 +145,33 @@
         return True
 
     def on_body_arrived(self, request_id: bytes, arrived_at: int) -> None:
-        """Starts the deadline of a request whose last byte arrived at this machine at `arrived_at` (us).
+        """Starts the deadline of a request whose last byte may have arrived at `arrived_at` (us).
 
-        The rest of its streamed body may still be unread, as the backend does not accept more.
+        The rest of its streamed body is still unread, as the backend does not accept more. If more arrives,
+        this is called again with a later time.
         """
         request = self._requests.with_id(request_id)
-        if request and not request.answered and request.timer is None:
-            self.event_log.event("body", "unread", id=request_id, waited_us=self.now() - arrived_at)
-            request.deadline = arrived_at + request.parsed.timeout
-            self._start_deadline(request)
+        if request and not request.answered and request.receiving_body:
+            if request.timer is None:
+                self.event_log.event("body", "unread", id=request_id, waited_us=self.now() - arrived_at)
+            self._start_deadline(request, arrived_at + request.parsed.timeout)
+
+    def on_body_missing(self, request_id: bytes) -> None:
+        """Stops the deadline of a request: the last byte of its streamed body has not arrived after all."""
+        request = self._requests.with_id(request_id)
+        if request and not request.answered and request.receiving_body and request.timer:
+            request.timer.cancel()
+            request.timer = None
 
     def on_body_complete(self, request_id: bytes, arrived_at: int) -> None:
-        """Starts the attempts' timeouts, and the deadline if it is not running: the whole body has been read.
+        """Starts the deadline and the attempts' timeouts: the whole body has been read.
 
         `arrived_at` (us) is when its last byte arrived at this machine.
         """
         request = self._requests.with_id(request_id)
         if request and not request.answered and request.body_complete_at is None:
             request.body_complete_at = self.now()
-            if request.timer is None:
-                request.deadline = arrived_at + request.parsed.timeout
-                self._start_deadline(request)
+            self._start_deadline(request, arrived_at + request.parsed.timeout)
             for attempt in request.attempts:
                 if not attempt.ended:
                     self.attempt_runner.start_timer(request, attempt)
@@ -213,8 +219,14 @@
             return "too many in flight"
         return ""
 
-    def _start_deadline(self, request: Request) -> None:
-        time_left = request.deadline - self.now() - ANSWER_MARGIN
+    def _start_deadline(self, request: Request, deadline: int) -> None:
+        """Starts the timer of the deadline, or moves it."""
+        if request.timer:
+            if request.deadline == deadline:
+                return
+            request.timer.cancel()
+        request.deadline = deadline
+        time_left = deadline - self.now() - ANSWER_MARGIN
         request.timer = self._loop.call_later(time_left / US_PER_SECOND, self._on_deadline, request)
 
     def _on_deadline(self, request: Request) -> None:
--- a/quota_ingress/net/socket_state.py
+++ b/quota_ingress/net/socket_state.py
@@ -20,19 +20,6 @@
     return _ioctl(transport, termios.FIONREAD)
 
 
-def peek(transport: asyncio.Transport, size: int) -> bytes:
-    """Returns up to `size` received bytes that the event loop has not read; they stay unread.
-
-    Raises:
-        OSError: There are none, or the connection was reset.
-    """
-    sock = socket.socket(fileno=transport.get_extra_info("socket").fileno())
-    try:
-        return sock.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    finally:
-        sock.detach()
-
-
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Returns the number of sent bytes that the peer's kernel has not acknowledged."""
     return _ioctl(transport, termios.TIOCOUTQ)
--- a/tests/test_body_arrival.py
+++ b/tests/test_body_arrival.py
@@ -1,4 +1,4 @@
-"""When the last byte of a request body arrived, while it is unread in the socket."""
+"""When the last byte of a streamed request body may have arrived, while it may be unread."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 import pytest
 
-from quota_ingress.net.downstream.body_arrival import BodyArrival
+from quota_ingress.net.downstream.body_arrival import BLOCKED_BYTES, BodyArrival
 from quota_ingress.net.http import Body, MemoryBudget
 
 
 class UnreadSocket:
-    """The transport of a connection from which nothing is read."""
+    """The transport of a connection from which nothing is read unless the test does."""
 
     def __init__(self) -> None:
         self.peer, self.sock = socket.socketpair()
@@ -31,8 +31,8 @@
     unread.sock.close()
 
 
-def check(arrival: BodyArrival, unread: UnreadSocket, now: int) -> int | None:
-    return arrival.check(cast(asyncio.Transport, unread), now)
+def check(arrival: BodyArrival, unread: UnreadSocket, now: int, paused: bool = True) -> int | None:
+    return arrival.check(cast(asyncio.Transport, unread), now, paused)
 
 
 def body_of(declared_length: int | None) -> Body:
@@ -42,37 +42,46 @@
     return body
 
 
-def test_a_last_byte_may_have_arrived_since_it_was_last_missing(unread: UnreadSocket) -> None:
-    arrival = BodyArrival(body_of(12))
+def test_the_rest_of_a_body_may_have_arrived_right_after_the_last_check_without_it(
+    unread: UnreadSocket,
+) -> None:
+    arrival = BodyArrival(body_of(12), 500)
     unread.peer.send(b"unr")
     assert check(arrival, unread, 1000) is None
     assert check(arrival, unread, 2000) is None
-    unread.peer.send(b"ead and the next request")
+    unread.peer.send(b"e")
     assert check(arrival, unread, 3000) == 2000
-    assert arrival.latest(500) == 2000 and arrival.latest(2500) == 2500
+    unread.peer.send(b"the next request")
+    assert check(arrival, unread, 4000) == 2000
 
 
-def test_a_body_that_is_all_there_at_the_first_check_has_just_arrived(unread: UnreadSocket) -> None:
+def test_bytes_that_come_while_reading_is_not_paused_have_just_arrived(unread: UnreadSocket) -> None:
+    arrival = BodyArrival(body_of(12), 500)
     unread.peer.send(b"rest")
-    assert check(BodyArrival(body_of(12)), unread, 1000) == 1000
-
-
-@pytest.mark.parametrize(
-    ("data", "has_arrived"),
-    [
-        (b"", False),
-        (b"4\r\nrest\r\n", False),
-        (b"6\r\nline\r\n\r\n", False),
-        (b"4\r\nrest\r\n0\r\n", False),
-        (b"10\r\n\r\n", False),
-        (b"4\r\nrest\r\n0\r\n\r\n", True),
-        (b"4\r\nrest\r\n000;last\r\nTrailer-Field: x\r\n\r\n", True),
-        (b"0\r\n\r\n", True),
-        (b"\n", True),
-    ],
-)
-def test_a_chunked_body_has_arrived_once_its_end_is_unread(
-    unread: UnreadSocket, data: bytes, has_arrived: bool
-) -> None:
-    unread.peer.send(data)
-    assert (check(BodyArrival(body_of(None)), unread, 1000) is not None) is has_arrived
+    assert check(arrival, unread, 1000, paused=False) == 1000
+    arrival.add_read(len(unread.sock.recv(4)))
+    assert check(arrival, unread, 2000, paused=False) is None and arrival.arrived_at == 1000
+
+
+def test_without_a_length_any_unread_byte_may_be_the_last(unread: UnreadSocket) -> None:
+    arrival = BodyArrival(body_of(None), 500)
+    assert check(arrival, unread, 1000) is None
+    unread.peer.send(b"4\r\nrest\r\n")
+    assert check(arrival, unread, 2000) == 1000
+    unread.peer.send(b"0\r\n\r\n")
+    assert check(arrival, unread, 3000) == 2000
+    arrival.add_read(len(unread.sock.recv(100)))
+    assert check(arrival, unread, 4000) is None
+
+
+def test_behind_a_full_receive_buffer_the_rest_may_wait_at_the_client(unread: UnreadSocket) -> None:
+    body = body_of(10 * BLOCKED_BYTES)
+    arrival = BodyArrival(body, 500)
+    unread.peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * BLOCKED_BYTES)
+    unread.peer.send(bytes(BLOCKED_BYTES - 1))
+    assert check(arrival, unread, 1000) is None
+    unread.peer.send(b"q")
+    assert check(arrival, unread, 2000) == 1000
+    assert check(arrival, unread, 3000) == 1000
+    body.discard(4)  # the backend has accepted more, so it may still serve the request
+    assert check(arrival, unread, 4000) == 4000
