Mend what earlier work left: a gateway maker, an unread count, waits for log lines, names

- test_load counted the arrivals that its seed gives and asserted nothing of them; the number of requests has to be that count.
- Tests that wait for a line of a process kill it after 30 s, so that a text that has changed fails them and blocks nothing.
- judge.END_AFTER was unused: nodes.KILL_AFTER holds that limit, by the longest deadline.
- An upgrade without an answer says "timed out", as meant; an exception is never false.
- incremental_reader compares characters, and says so.

--- a/ingress_testbed/soak/judge.py
+++ b/ingress_testbed/soak/judge.py
@@ -9,7 +9,7 @@
 
 from ingress_testbed.soak.endpoints import host_of
 from ingress_testbed.soak.records import Arrival, Call, Ending, ListWrite, ProcessRecord, Run
-from ingress_testbed.soak.setup import DRAIN_GRACE, IDEMPOTENT, MAX_DEADLINE, NOT_IDEMPOTENT, WITH_KEY
+from ingress_testbed.soak.setup import DRAIN_GRACE, IDEMPOTENT, NOT_IDEMPOTENT, WITH_KEY
 
 SLACK = 0.05  # s added to every limit, for the time that sockets take
 ANSWER_SLACK = 0.5  # s past its timeout in which a late answer is worthless, but no violation
@@ -18,7 +18,6 @@
 IN_FORCE = 6.0  # s after which a change of the list counts as known to every node
 WRITE_DELAY = 0.15  # s for which a node may be suspended before it reads a change
 STOP_ACCEPTS = 0.4  # s after SIGTERM in which a process still accepts clients
-END_AFTER = MAX_DEADLINE + 0.7  # s after SIGTERM in which a process has to end
 BAD_PEER_SLACK = 0.3  # s added to the limit in which a bad peer has to get an error or a close
 READY_WITHIN = 10.0  # s from its start in which a process has to listen
 LAG_REPORT_INTERVAL = 0.25  # s between two measurements of the event loop's delay in an ingress
--- a/ingress_testbed/soak/nodes.py
+++ b/ingress_testbed/soak/nodes.py
@@ -19,10 +19,11 @@
 from ingress_testbed import proc
 from ingress_testbed.faults import Faults
 from ingress_testbed.soak.records import ProcessRecord
+from ingress_testbed.soak.setup import MAX_DEADLINE
 
 HOST = "127.0.0.1"
 READY_TIMEOUT = 60.0  # s in which a process has to listen
-KILL_AFTER = 3.7  # s from SIGTERM to SIGKILL, as on the platform
+KILL_AFTER = MAX_DEADLINE + 0.7  # s from SIGTERM to SIGKILL, as on the platform
 PORT_RANGE = (10_000, 32_000)  # below the kernel's range for outgoing connections
 EXCERPTED_EVENTS = ('"endpoint list received"', '"watch ended"', '"reload"', '"process"')
 MAX_LINE_SIZE = 1024 * 1024  # bytes
--- a/quota_ingress/net/discovery/incremental_reader.py
+++ b/quota_ingress/net/discovery/incremental_reader.py
@@ -27,7 +27,7 @@
 from quota_ingress.net.discovery.endpoint_list import EndpointList
 from quota_ingress.net.discovery.packed_entry import PackedEntry
 
-MAX_UNREAD_BYTES = 8 * 1024 * 1024
+MAX_UNREAD_CHARACTERS = 8 * 1024 * 1024
 MAX_LIST_BYTES = 64 * 1024 * 1024  # about 400,000 endpoints
 MAX_TOKEN_LENGTH = 16  # characters; at least the length of `-Infinity` and of an escape sequence in a string
 
@@ -88,10 +88,10 @@
         except DECODE_ERRORS as error:
             raise as_list_error(error) from None
         unread = len(self._text) - self._position + self._pending_length
-        if self._received_bytes > MAX_LIST_BYTES or unread > MAX_UNREAD_BYTES:
+        if self._received_bytes > MAX_LIST_BYTES or unread > MAX_UNREAD_CHARACTERS:
             raise EndpointListError(
                 f"endpoint list: too long: {self._received_bytes} bytes received (limit {MAX_LIST_BYTES}), "
-                f"{unread} characters not decoded (limit {MAX_UNREAD_BYTES})"
+                f"{unread} characters not decoded (limit {MAX_UNREAD_CHARACTERS})"
             )
 
     def _join_pending(self) -> None:
--- a/quota_ingress/net/discovery/list_parser.py
+++ b/quota_ingress/net/discovery/list_parser.py
@@ -18,12 +18,12 @@
 )
 from quota_ingress.net.discovery.endpoint_list import EndpointList
 from quota_ingress.net.discovery.incremental_reader import (
-    MAX_UNREAD_BYTES,
     IncrementalListReader,
     PackEntry,
 )
 from quota_ingress.net.discovery.packed_entry import pack_entry
 
+MAX_UNREAD_BYTES = 8 * 1024 * 1024  # of a list in several lines that is not complete
 INCREMENTAL_THRESHOLD_BYTES = 256 * 1024
 
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
--- a/quota_ingress/net/lifecycle/upgrade.py
+++ b/quota_ingress/net/lifecycle/upgrade.py
@@ -217,7 +217,7 @@
         try:
             return await self._channel.ask(question, on_answer)
         except (OSError, TimeoutError) as error:
-            log.warning("upgrade: no answer to %s: %r", question.value, error or "timed out")
+            log.warning("upgrade: no answer to %s: %s", question.value, str(error) or "timed out")
             return None
 
     def _listen(self) -> Acceptor:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -91,7 +91,19 @@
 def gateway_with_endpoints(endpoint_count: int = 4, **changes: Any) -> Gateway:
     """Returns a gateway with a full list of endpoints 1 to `endpoint_count`."""
     gateway = Gateway(settings(**changes), seed=1)
-    gateway.handle(0, endpoints_listed(*(endpoint_entry(n) for n in range(1, endpoint_count + 1))))
+    gateway.handle(0, endpoints_listed(*endpoint_entries(endpoint_count)))
+    return gateway
+
+
+def endpoint_entries(count: int) -> list[ListedEndpoint]:
+    """Returns entries of the endpoints 1 to `count`."""
+    return [endpoint_entry(number) for number in range(1, count + 1)]
+
+
+def unlimited_gateway(*entries: ListedEndpoint, **changes: Any) -> Gateway:
+    """Returns a gateway with a full list of `entries`, whose customers have no quotas."""
+    gateway = Gateway(settings(plans=UNLIMITED_PLANS, **changes), seed=3)
+    gateway.handle(0, endpoints_listed(*entries))
     return gateway
 
 
--- a/tests/process_helpers.py
+++ b/tests/process_helpers.py
@@ -9,13 +9,15 @@
 import socket
 import subprocess
 import sys
+import threading
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 from tests.net_helpers import HOST, RAW, Peer, read_response
 
 ROOT = Path(__file__).parent.parent
+LINE_TIMEOUT_S = 30.0  # as long as a start may take
 
 
 def start_ingress(
@@ -75,13 +77,26 @@
     return errors
 
 
+def wait_for_line(stream: IO[str] | None, process: subprocess.Popen[str], text: str = "") -> str:
+    """Returns the next line, or the next one that contains `text`, of the process's output `stream`.
+
+    Kills the process after LINE_TIMEOUT_S: a text that has changed fails the test and does not block it.
+    """
+    assert stream
+    timer = threading.Timer(LINE_TIMEOUT_S, process.kill)
+    timer.start()
+    try:
+        while (line := stream.readline()) and text not in line:
+            pass
+    finally:
+        timer.cancel()
+    assert line, f"the process ended, or was killed after {LINE_TIMEOUT_S:.0f} s, without a line {text!r}"
+    return line
+
+
 def listening_port(process: subprocess.Popen[str]) -> int:
     """Waits for the log line that says that the process listens; returns the port for clients."""
-    assert process.stderr
-    line = process.stderr.readline()
-    while line and "listening on " not in line:
-        line = process.stderr.readline()
-    return int(line.rpartition(":")[2])
+    return int(wait_for_line(process.stderr, process, "listening on ").rpartition(":")[2])
 
 
 def config_document(**changes: Any) -> dict[str, Any]:
--- a/tests/test_concurrency_limit.py
+++ b/tests/test_concurrency_limit.py
@@ -3,29 +3,19 @@
 from __future__ import annotations
 
 from quota_ingress.policy.actions import SendAttempt
-from quota_ingress.policy.endpoint_list import ListedEndpoint
 from quota_ingress.policy.events import AttemptEnded, Outcome
-from quota_ingress.policy.gateway import Gateway
 from tests.helpers import (
     SECOND,
-    UNLIMITED_PLANS,
     arrival,
     chosen_endpoints,
     endpoint_entry,
-    endpoints_listed,
     of_type,
-    settings,
+    unlimited_gateway,
 )
 
 
-def make_gateway(*entries: ListedEndpoint, **changes: object) -> Gateway:
-    new_gateway = Gateway(settings(plans=UNLIMITED_PLANS, **changes), seed=3)
-    new_gateway.handle(0, endpoints_listed(*entries))
-    return new_gateway
-
-
 def test_attempts_in_flight_at_an_endpoint_are_limited_and_slow_answers_lower_the_limit() -> None:
-    gateway = make_gateway(endpoint_entry(1))
+    gateway = unlimited_gateway(endpoint_entry(1))
     sent = chosen_endpoints(gateway, 0, range(100))
     assert 1 < len(sent) <= 16
     for n in range(len(sent)):
@@ -34,7 +24,7 @@
 
 
 def test_fast_answers_do_not_lower_the_limit() -> None:
-    gateway = make_gateway(endpoint_entry(1))
+    gateway = unlimited_gateway(endpoint_entry(1))
     before = len(chosen_endpoints(gateway, 0, range(100)))
     for n in range(before):
         gateway.handle(50_000, AttemptEnded(n, 0, 1, Outcome.OK, 50_000, True))
@@ -42,7 +32,7 @@
 
 
 def test_the_limit_of_a_warming_endpoint_grows_while_its_current_capacity_is_used() -> None:
-    gateway = make_gateway(endpoint_entry(1), endpoint_entry(2, started_at=1))
+    gateway = unlimited_gateway(endpoint_entry(1), endpoint_entry(2, started_at=1))
     warming = gateway.endpoints.candidates[2]
     before = warming.concurrency_limit
     gateway.load_balancer.on_attempt_ended(warming, SECOND, 0, Outcome.OK, 50_000)
@@ -57,7 +47,7 @@
 
     With short objectives, the work of an idle endpoint took a fifth of the objective, and limits fell to 1.
     """
-    gateway = make_gateway(endpoint_entry(1))
+    gateway = unlimited_gateway(endpoint_entry(1))
     (endpoint,) = gateway.endpoints.candidates.values()
     endpoint.concurrency_limit, endpoint.in_flight = 2.0, 2
     gateway.load_balancer.on_attempt_ended(endpoint, SECOND, 0, Outcome.OK, SECOND // 4)
@@ -65,7 +55,7 @@
 
 
 def test_many_gateways_do_not_overload_failing_endpoints_with_one_attempt_each() -> None:
-    gateway = make_gateway(*(endpoint_entry(n) for n in range(1, 9)), fleet_size=16)
+    gateway = unlimited_gateway(*(endpoint_entry(n) for n in range(1, 9)), fleet_size=16)
     for n in range(60):
         for sent in of_type(gateway.handle(n, arrival(n)), SendAttempt):
             gateway.handle(n, AttemptEnded(n, 0, sent.endpoint, Outcome.TIMEOUT, 900_000, True))
@@ -79,7 +69,7 @@
 
     Before, `timed_out_of_20` of every 20 of its attempts timed out.
     """
-    gateway = make_gateway(
+    gateway = unlimited_gateway(
         *(endpoint_entry(n) for n in range(1, 21)), fleet_size=50, limits={"max_attempts": 1}
     )
     for n in range(300):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -21,7 +21,14 @@
 
 from quota_ingress.net.descriptors import DescriptorBudget
 from tests.net_helpers import HOST, OK, Peer, PeerServer, request, respond_with
-from tests.process_helpers import ROOT, answer_as_counter, config_document, fetch, listening_port
+from tests.process_helpers import (
+    ROOT,
+    answer_as_counter,
+    config_document,
+    fetch,
+    listening_port,
+    wait_for_line,
+)
 
 LIMIT = 256  # descriptors, the lowest limit that the platform may set
 IDLE_CLIENT_COUNT = 2 * LIMIT
@@ -114,8 +121,8 @@
         env=os.environ | {"EDGE_CONFIG": str(tmp_path / "config.json")},
         preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT)),
     )
-    assert process.stderr
-    admin = int((await asyncio.to_thread(process.stderr.readline)).rpartition(":")[2])
+    admin_line = await asyncio.to_thread(wait_for_line, process.stderr, process)
+    admin = int(admin_line.rpartition(":")[2])
     port = await asyncio.to_thread(listening_port, process)
     tasks = [asyncio.create_task(agent.send_heartbeats())]
     try:
--- a/tests/test_endpoint_set.py
+++ b/tests/test_endpoint_set.py
@@ -12,22 +12,18 @@
     UNLIMITED_PLANS,
     arrival,
     chosen_endpoints,
+    endpoint_entries,
     endpoint_entry,
     endpoints_listed,
     endpoints_used,
     of_type,
     settings,
+    unlimited_gateway,
 )
 
 
-def make_gateway(endpoint_count: int, **changes: object) -> Gateway:
-    new_gateway = Gateway(settings(plans=UNLIMITED_PLANS, **changes), seed=3)
-    new_gateway.handle(0, endpoints_listed(*(endpoint_entry(n) for n in range(1, endpoint_count + 1))))
-    return new_gateway
-
-
 def test_an_endpoint_missing_from_a_full_list_is_removed_but_one_missing_from_a_delta_is_kept() -> None:
-    gateway = make_gateway(2)
+    gateway = unlimited_gateway(*endpoint_entries(2))
     gateway.handle(10, endpoints_listed(endpoint_entry(2), kind=ListKind.DELTA))
     assert set(chosen_endpoints(gateway, 10, range(8))) == {1, 2}
     gateway.handle(20, endpoints_listed(endpoint_entry(2)))
@@ -35,7 +31,7 @@
 
 
 def test_removed_endpoints_are_forgotten() -> None:
-    gateway = make_gateway(1)
+    gateway = unlimited_gateway(*endpoint_entries(1))
     for n in range(2, 50):
         gateway.handle(
             n, endpoints_listed(endpoint_entry(n), endpoint_entry(n - 1, REMOVED), kind=ListKind.DELTA)
@@ -44,7 +40,7 @@
 
 
 def test_attempts_that_end_after_their_endpoint_restarted_are_counted_down() -> None:
-    gateway = make_gateway(1)
+    gateway = unlimited_gateway(*endpoint_entries(1))
     (sent,) = of_type(gateway.handle(0, arrival(1)), SendAttempt)
     gateway.handle(10, endpoints_listed(endpoint_entry(1, started_at=10), kind=ListKind.DELTA))
     gateway.handle(20, AttemptEnded(1, 0, sent.endpoint, Outcome.RESET, 20, True))
@@ -78,7 +74,7 @@
 
 
 def test_a_subset_keeps_its_endpoints_and_gains_others_when_endpoints_are_removed() -> None:
-    gateway = make_gateway(60, fleet_size=40)
+    gateway = unlimited_gateway(*endpoint_entries(60), fleet_size=40)
     before = endpoints_used(gateway, 0, 0)
     gateway.handle(SECOND, endpoints_listed(*(endpoint_entry(n) for n in range(1, 41))))  # a zone was removed
     after = endpoints_used(gateway, SECOND, 1000)
@@ -86,7 +82,7 @@
 
 
 def test_other_endpoints_are_used_if_the_preferred_subset_has_no_capacity() -> None:
-    gateway = make_gateway(60, fleet_size=40)
+    gateway = unlimited_gateway(*endpoint_entries(60), fleet_size=40)
     preferred = endpoints_used(gateway, 0, 0)
     drained = [endpoint_entry(n, EndpointState.DRAINING) for n in preferred]
     gateway.handle(SECOND, endpoints_listed(*drained, kind=ListKind.DELTA))
--- a/tests/test_incremental_reader.py
+++ b/tests/test_incremental_reader.py
@@ -87,7 +87,7 @@
 
 
 def test_little_of_a_long_list_is_buffered(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(incremental_reader, "MAX_UNREAD_BYTES", 1_000_000)
+    monkeypatch.setattr(incremental_reader, "MAX_UNREAD_CHARACTERS", 1_000_000)
     parser = EndpointListParser()
     index = 0
     parser.feed(b'{"index":1,"snapshot":true,"endpoints":[')
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -15,9 +15,10 @@
         figures = await LoadGenerator(HOST, backends.port).run(
             100.0, 0.5, seed=7, customers=5, spread=1, routes=1
         )
-    rng, due, arrival_count = random.Random(7), 0.0, -1
-    while due < 0.5:
-        arrival_count, due = arrival_count + 1, due + rng.expovariate(100.0)
+    rng, due, arrival_count = random.Random(7), 0.0, 0
+    rng.getrandbits(48)  # the run's number
+    while (due := due + rng.expovariate(100.0)) < 0.5:
+        arrival_count += 1
         rng.randrange(5), rng.randrange(1)
-    assert figures["sent_n"] == figures["served_n"] and abs(figures["sent_n"] - 50) < 25
+    assert figures["sent_n"] == figures["served_n"] == arrival_count
     assert figures["p50_ms"] >= 300 and figures["opened_n"] > 20  # no request waited for an earlier response
--- a/tests/test_load_balancer.py
+++ b/tests/test_load_balancer.py
@@ -5,7 +5,7 @@
 import pytest
 
 from quota_ingress.policy.actions import Reject, SendAttempt
-from quota_ingress.policy.endpoint_list import EndpointState, ListedEndpoint, ListKind
+from quota_ingress.policy.endpoint_list import EndpointState, ListKind
 from quota_ingress.policy.events import AttemptEnded, Outcome
 from quota_ingress.policy.gateway import Gateway
 from tests.helpers import (
@@ -19,29 +19,24 @@
     endpoints_listed,
     of_type,
     settings,
+    unlimited_gateway,
 )
 
 
-def make_gateway(*entries: ListedEndpoint, **changes: object) -> Gateway:
-    new_gateway = Gateway(settings(plans=UNLIMITED_PLANS, **changes), seed=3)
-    new_gateway.handle(0, endpoints_listed(*entries))
-    return new_gateway
-
-
 @pytest.mark.parametrize("state", [DRAINING, REMOVED])
 def test_no_new_attempt_is_sent_to_a_draining_or_removed_endpoint(state: EndpointState) -> None:
-    gateway = make_gateway(endpoint_entry(1), endpoint_entry(2))
+    gateway = unlimited_gateway(endpoint_entry(1), endpoint_entry(2))
     gateway.handle(10, endpoints_listed(endpoint_entry(1, state), kind=ListKind.DELTA))
     assert set(chosen_endpoints(gateway, 10, range(8))) == {2}
 
 
 def test_without_endpoints_a_request_is_rejected_immediately() -> None:
-    gateway = make_gateway()
+    gateway = unlimited_gateway()
     assert of_type(gateway.handle(0, arrival(1)), Reject)
 
 
 def test_an_unreachable_endpoint_is_avoided_and_tried_again_later() -> None:
-    gateway = make_gateway(endpoint_entry(1), endpoint_entry(2))
+    gateway = unlimited_gateway(endpoint_entry(1), endpoint_entry(2))
     for n in range(30):
         for sent in of_type(gateway.handle(0, arrival(n)), SendAttempt):
             is_up = sent.endpoint == 2
@@ -59,7 +54,7 @@
 
     `report_age` us earlier, the first endpoint reported `load` and the second a load of 1.
     """
-    gateway = make_gateway(endpoint_entry(1), endpoint_entry(2), load_fields=("queue",))
+    gateway = unlimited_gateway(endpoint_entry(1), endpoint_entry(2), load_fields=("queue",))
     attempts = [sent for n in range(8) for sent in of_type(gateway.handle(0, arrival(n)), SendAttempt)]
     assert {sent.endpoint for sent in attempts} == {1, 2}
     for sent in attempts:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,6 +16,7 @@
     listening_port,
     start_ingress,
     stop_orderly,
+    wait_for_line,
 )
 
 
@@ -67,8 +68,7 @@
     assert servers[1].peers and counters[1].added and agents[0].watched
     path.write_text("{")
     process.send_signal(signal.SIGHUP)
-    assert process.stderr
-    assert "not reloaded" in await asyncio.to_thread(process.stderr.readline)
+    assert "not reloaded" in await asyncio.to_thread(wait_for_line, process.stderr, process)
     assert (await fetch(port, request("c1", Cookie=f"customer={9:016x}"))).startswith(b"HTTP/1.1 200 ")
     process.send_signal(signal.SIGTERM)
     process.send_signal(signal.SIGHUP)
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -9,7 +9,6 @@
 from quota_ingress.policy.actions import Action, Reject, SendAttempt
 from quota_ingress.policy.endpoint import Endpoint
 from quota_ingress.policy.events import AttemptEnded, Outcome
-from quota_ingress.policy.gateway import Gateway
 from quota_ingress.policy.leased_quota import LeasedQuota
 from quota_ingress.policy.outlier import SlowdownTracker
 from quota_ingress.policy.request_state import Attempt, Request
@@ -20,25 +19,20 @@
     SECOND,
     UNLIMITED_PLANS,
     arrival,
+    endpoint_entries,
     endpoint_entry,
-    endpoints_listed,
     of_type,
     settings,
+    unlimited_gateway,
 )
 
 
-def make_gateway(endpoint_count: int, **changes: object) -> Gateway:
-    new_gateway = Gateway(settings(plans=UNLIMITED_PLANS, **changes), seed=3)
-    new_gateway.handle(0, endpoints_listed(*(endpoint_entry(n) for n in range(1, endpoint_count + 1))))
-    return new_gateway
-
-
 def actions_after_failure(latency: int) -> list[Action]:
     """Returns the actions after an attempt that failed `latency` us after its start.
 
     The client waits for 300 ms.
     """
-    gateway = make_gateway(2)
+    gateway = unlimited_gateway(*endpoint_entries(2))
     for n in range(5):
         for sent in of_type(gateway.handle(n * SECOND, arrival(n)), SendAttempt):
             gateway.handle(n * SECOND, AttemptEnded(n, 0, sent.endpoint, Outcome.OK, 100_000, True))
@@ -54,7 +48,7 @@
 
 
 def test_an_attempt_times_out_no_earlier_than_at_half_of_the_objective() -> None:
-    gateway = make_gateway(1, limits={"may_hedge": False})
+    gateway = unlimited_gateway(*endpoint_entries(1), limits={"may_hedge": False})
     for n in range(4):
         (sent,) = of_type(gateway.handle(n, arrival(n)), SendAttempt)
         assert sent.timeout >= SECOND // 2  # a timeout of a third cut off many answers
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ingress_testbed import results, slopes
+from tests.process_helpers import wait_for_line
 
 ROOT = Path(__file__).parent.parent
 
@@ -44,7 +45,7 @@
     process = start_testbed(
         "sweep", "list-module", "--over", "20,30,40", "--repeat", "100", "--out", str(path)
     )
-    assert process.stdout and process.stdout.readline().startswith("size 20 ")
+    assert wait_for_line(process.stdout, process).startswith("size 20 ")
     process.send_signal(signal.SIGINT)
     output, _ = process.communicate(timeout=60)
     assert process.returncode == 130 and "Traceback" not in output
