Hold each process of a soak to its memory limit: the judge reads its peak

Change: each process's peak is recorded before it is stopped and at the end; over the limit of its configuration it is a violation (P19). The check of a process's end is a function of its own.

A planted record over the limit is found.

--- a/ingress_testbed/soak/judge.py
+++ b/ingress_testbed/soak/judge.py
@@ -9,7 +9,7 @@
 
 from ingress_testbed.soak.endpoints import host_of
 from ingress_testbed.soak.records import Arrival, Call, Ending, ListWrite, ProcessRecord, Run
-from ingress_testbed.soak.setup import DRAIN_GRACE, IDEMPOTENT, NOT_IDEMPOTENT, WITH_KEY
+from ingress_testbed.soak.setup import DRAIN_GRACE, IDEMPOTENT, MEMORY_MB, NOT_IDEMPOTENT, WITH_KEY
 
 SLACK = 0.05  # s added to every limit, for the time that sockets take
 ANSWER_SLACK = 0.5  # s past its timeout in which a late answer is worthless, but no violation
@@ -231,11 +231,17 @@
         yield "its own rules", f"{name}: {rule}"
     if process.ready_at - process.started_at > READY_WITHIN:
         yield "P21 ready", f"{name}: listening after {process.ready_at - process.started_at:.1f} s"
+    if process.memory_mb > MEMORY_MB:
+        yield "P19 limits", f"{name}: {process.memory_mb:.0f} MB of memory, {MEMORY_MB} allowed"
     repeated_outcomes = {request: endings for request, endings in process.ended.items() if len(endings) > 1}
     if repeated_outcomes:
         yield "P2 one outcome", f"{name}: requests with several outcomes: {repeated_outcomes}"
-    if process.killed_at and not process.stopped_at:
-        return
+    if process.stopped_at or not process.killed_at:
+        yield from _check_end(process, name)
+
+
+def _check_end(process: ProcessRecord, name: str) -> Iterator[tuple[str, str]]:
+    """Checks how a process ended that was not killed by a fault."""
     if process.killed_at or process.exit_code != 0:
         yield (
             "P15 an end in order",
--- a/ingress_testbed/soak/nodes.py
+++ b/ingress_testbed/soak/nodes.py
@@ -117,6 +117,7 @@
 
     async def stop(self) -> None:
         """Sends SIGTERM, and SIGKILL after KILL_AFTER. Returns once the process has ended."""
+        self.record_memory()
         self.record.stopped_at = time.monotonic()
         self.signal(signal.SIGTERM)
         done, _ = await asyncio.wait([self._log], timeout=KILL_AFTER)
@@ -152,9 +153,14 @@
 
     def record_resources(self) -> None:
         """Records the number of open descriptors and the memory of the process."""
-        with contextlib.suppress(OSError, KeyError):
+        self.record_memory()
+        with contextlib.suppress(OSError):
             self.record.descriptors = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-            self.record.memory_mb = proc.memory(self.process.pid)[0]
+
+    def record_memory(self) -> None:
+        """Records the peak of the process's resident memory."""
+        with contextlib.suppress(OSError, KeyError):
+            self.record.memory_mb = proc.memory(self.process.pid)[1]
 
 
 class Node:
--- a/ingress_testbed/soak/records.py
+++ b/ingress_testbed/soak/records.py
@@ -93,7 +93,7 @@
     log_excerpt: list[str] = msgspec.field(default_factory=list, name="states")
     tracebacks: int = 0
     descriptors: int = 0  # open at the end of a run, once all requests have ended
-    memory_mb: float = 0.0
+    memory_mb: float = 0.0  # peak of the resident memory
 
 
 class Fault(msgspec.Struct):
--- a/ingress_testbed/soak/run.py
+++ b/ingress_testbed/soak/run.py
@@ -22,13 +22,12 @@
 from ingress_testbed.soak.fault_plan import draw_faults
 from ingress_testbed.soak.nodes import Node
 from ingress_testbed.soak.records import Arrival, BadPeer, Call, Run
-from ingress_testbed.soak.setup import Setup
+from ingress_testbed.soak.setup import MEMORY_MB, Setup
 from ingress_testbed.standins.counter import CounterServer
 from ingress_testbed.worker import PROJECT_ROOT, Worker
 
 SETTLE_TIME = 3.5  # s after the last client in which the remaining requests have to end
 LAG_INTERVAL = 0.02  # s between measurements of the event loop's delay
-MEMORY_MB = 96  # memory limit of each ingress, in its configuration
 
 
 @dataclass(frozen=True, slots=True)
--- a/ingress_testbed/soak/setup.py
+++ b/ingress_testbed/soak/setup.py
@@ -11,6 +11,7 @@
 CLASSES = (IDEMPOTENT, NOT_IDEMPOTENT, WITH_KEY)
 DRAIN_GRACE = 0.25  # s after which a draining backend gets no new attempts
 MAX_DEADLINE = 3.0  # s
+MEMORY_MB = 96  # memory limit of each ingress, in its configuration
 CUSTOMERS = 4000
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -104,6 +104,7 @@
         (run([call()], [arrival()], process_record(exit_code=1)), "P15"),
         (run([call()], [arrival()], process_record(killed_at=163.8)), "P15"),
         (run([call()], [arrival()], process_record(ready_at=112.0, arrived={}, ended={})), "P21"),
+        (run([call()], [arrival()], process_record(memory_mb=97.0)), "P19"),
         (run([call()], [arrival()], process_record(violations=["rule x"])), "its"),
     ],
 )
