Count full write buffers in the memory budget, and reject long bodies that no longer fit

Change: a connection counts its write buffer from pause_writing to resume_writing. Once three quarters of the memory beside the process itself is in use, a further body over 64 KiB gets 503 with Retry-After; until then reading pauses, as before.

Both new tests failed before: the long body was answered 200, and 0 bytes of a full write buffer counted.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -135,11 +135,13 @@
 
     def pause_writing(self) -> None:
         """Pauses writing responses, as the client does not read."""
+        super().pause_writing()
         self._writer.paused = True
         self._stages.write_blocked[self] = self._host.now()
 
     def resume_writing(self) -> None:
         """Resumes writing responses and handling requests."""
+        super().resume_writing()
         self._writer.paused = False
         self._stages.write_blocked.pop(self, None)
         self._forward_response_body()
@@ -329,6 +331,10 @@
         if peer_has_closed(self.transport):  # while the request waited in the accept queue or the pipeline
             self._abort_after_disconnect()
             return
+        if not body.complete and self._host.memory_budget.is_overcommitted:
+            self._engine.event_log.event("rejected", "no memory left", id=parsed.id)
+            self.reject(self._engine.settings.limits.max_retry_after, status=503)
+            return
         parsed.received_at = message.completed_at if body.complete else self._host.now()
         if length_became_known:
             parsed.head = encode_forwarded_head(message, parsed.id)
--- a/quota_ingress/net/http/connection.py
+++ b/quota_ingress/net/http/connection.py
@@ -34,6 +34,7 @@
     def __init__(self, reader: MessageReader) -> None:
         self.reader = reader
         reader.on_message_started = self.message_started
+        self._bytes_unsent = 0  # in the transport's write buffer, as the memory budget counts them
         self._more_messages = False  # the same read contained messages after the one being delivered
 
     def message_received(self, message: Message) -> None:
@@ -53,8 +54,21 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Closes the message reader, which drops its parser."""
+        self._count_unsent(0)
         self.reader.close()
 
+    def pause_writing(self) -> None:
+        """Counts the write buffer, which is full, in the memory budget."""
+        self._count_unsent(self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Counts the write buffer, which is nearly empty, no longer."""
+        self._count_unsent(0)
+
+    def _count_unsent(self, size: int) -> None:
+        self.reader.budget.used += size - self._bytes_unsent
+        self._bytes_unsent = size
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read, which `buffer_updated` empties at once."""
         return self.reader.budget.read_buffer()
--- a/quota_ingress/net/http/memory_budget.py
+++ b/quota_ingress/net/http/memory_budget.py
@@ -1,4 +1,4 @@
-"""Limit on the memory used by the buffered bodies of all messages together."""
+"""Limit on the memory used by the buffers of all connections together."""
 
 from __future__ import annotations
 
@@ -6,17 +6,19 @@
 PROCESS_MEMORY_MB = 20  # needed by the process itself
 MIN_BUDGET_MB = 2
 MAX_BUDGET_MB = 16
+REFUSAL_FRACTION = 0.75  # of the memory limit less PROCESS_MEMORY_MB
 BYTES_PER_MB = 1e6
 READ_BYTES = 64 * 1024  # read from a connection at once
 EXHAUSTED_READ_BYTES = 16 * 1024  # instead, while the budget is exhausted; a whole head
 
 
 class MemoryBudget:
-    """The number of bytes buffered by all bodies, which update `used`, and its capacity in bytes.
+    """The number of bytes in the buffers of all bodies and in full write buffers, and its capacity in bytes.
 
-    The capacity is not enforced here. While the budget `is_exhausted`, less is read from a connection at
-    once, streamed bodies are not read ahead of the peer that they are sent to, and request bodies longer
-    than BODY_BUFFER_BYTES are streamed instead of buffered.
+    Bodies and connections update `used`. The capacity is not enforced here. While the budget `is_exhausted`,
+    less is read from a connection at once, streamed bodies are not read ahead of the peer that they are sent
+    to, and request bodies longer than BODY_BUFFER_BYTES are streamed instead of buffered. While it
+    `is_overcommitted`, such requests are rejected.
     """
 
     def __init__(self, memory_limit_mb: float = 1024.0) -> None:
@@ -25,6 +27,7 @@
         budget_mb = min(MAX_BUDGET_MB, max(MIN_BUDGET_MB, BUDGET_FRACTION * spare_mb))
         self.capacity = int(BYTES_PER_MB * budget_mb)
         self.used = 0
+        self._refusal_limit = int(BYTES_PER_MB * max(2 * budget_mb, REFUSAL_FRACTION * spare_mb))
         self._read_buffer = memoryview(bytearray(READ_BYTES))
 
     @property
@@ -32,6 +35,11 @@
         """Whether buffered bytes have reached the capacity, so that less should be buffered."""
         return self.used >= self.capacity
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether buffered bytes have come close to the memory limit, so that no further body fits."""
+        return self.used >= self._refusal_limit
+
     def read_buffer(self) -> memoryview:
         """Returns the buffer for the next read from a connection. All connections share it."""
         return self._read_buffer[:EXHAUSTED_READ_BYTES] if self.is_exhausted else self._read_buffer
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -136,10 +136,12 @@
 
     def pause_writing(self) -> None:
         """Pauses writing the request body, as the backend does not read."""
+        super().pause_writing()
         self._write_paused = True
 
     def resume_writing(self) -> None:
         """Resumes writing the request body."""
+        super().resume_writing()
         self._write_paused = False
         self.forward_body()
 
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -8,7 +8,7 @@
 
 from quota_ingress.net.downstream.pipeline import MAX_BUFFERED_REQUEST_BYTES
 from quota_ingress.net.engine.requests import ParsedRequest
-from quota_ingress.net.http import BODY_BUFFER_BYTES, Body, MemoryBudget
+from quota_ingress.net.http import BODY_BUFFER_BYTES, WRITE_BUFFER_BYTES, Body, MemoryBudget
 from quota_ingress.policy.actions import Action, Reject, SendAttempt
 from quota_ingress.policy.events import AttemptEnded, Event, Outcome, RequestArrived, StreamStarted
 from tests.net_helpers import (
@@ -216,6 +216,43 @@
     writer.close()
 
 
+async def test_a_long_body_is_rejected_while_no_memory_is_left_and_a_short_one_is_not(
+    pair: IngressAndBackend,
+) -> None:
+    """Guards against passing the memory limit: what more long bodies would need is refused."""
+    pair.server.on_data = respond_with(OK)
+    budget = pair.memory_budget
+    taken = 1_000_000_000
+    budget.used += taken
+    reader, writer = await pair.connect(save(f"Content-Length: {len(MEGABYTE)}") + MEGABYTE)
+    answer = await read_response(reader)
+    assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 0.500" in answer
+    other_reader, other_writer = await pair.connect(request("a2"))
+    assert (await read_response(other_reader)).endswith(b"warm")
+    budget.used -= taken
+    for each in (writer, other_writer):
+        each.close()
+
+
+async def test_a_full_write_buffer_counts_as_memory_until_the_peer_reads(pair: IngressAndBackend) -> None:
+    reader, writer = await pair.connect(request())
+    writer.transport.pause_reading()
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (8 * len(MEGABYTE)))
+    peer.transport.write(8 * MEGABYTE)
+    stages = pair.ingress.listener.stages
+    async with asyncio.timeout(10):
+        while not stages.write_blocked:
+            await asyncio.sleep(0)
+    assert pair.memory_budget.used >= WRITE_BUFFER_BYTES  # the budget of the client's side alone
+    writer.transport.resume_reading()
+    async with asyncio.timeout(20):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(8 * len(MEGABYTE))
+    assert pair.memory_budget.used == 0
+    writer.close()
+
+
 def test_the_timeout_of_a_request_starts_at_its_last_byte() -> None:
     network = FakeNetwork(Script(send_on_arrival(timeout=300_000)))
     body = Body(MemoryBudget())
