Keep whose call it is in admission, not in the call: no circle of lease and quota

Change: admission keeps a PendingCall, the call and the quota that it was made for, until the counter answers.

--- a/quota_ingress/policy/admission.py
+++ b/quota_ingress/policy/admission.py
@@ -19,7 +19,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from quota_ingress.policy.actions import Action, AddToCounter, SetTimer
 from quota_ingress.policy.call_pacing import CallPacing
@@ -36,6 +36,13 @@
 OPTIONAL_WORK_MAX_UTILIZATION = 0.6  # of the pooled limit; from it on, no hedged or over-quota attempts
 
 
+class PendingCall(NamedTuple):
+    """A call that the counter has not answered, and the quota that it was made for."""
+
+    quota: CustomerQuota
+    call: CounterCall
+
+
 class RequestLifecycle(Protocol):
     """The interface through which admission control forwards and answers requests."""
 
@@ -76,7 +83,7 @@
         self._lifecycle = lifecycle
         self._statistics = LeaseStatistics(settings.plans)
         self.customers: dict[int, CustomerQuota] = {}
-        self.pending_calls: dict[int, deque[CounterCall]] = {}  # by counter name, the oldest first
+        self.pending_calls: dict[int, deque[PendingCall]] = {}  # by counter name, the oldest first
         self.call_pacing = CallPacing(settings.counter, settings.fleet_size)
         limits = settings.limits
         longest_retry_after = limits.max_retry_after if limits.sends_retry_after else 0
@@ -137,7 +144,7 @@
                 quota.waiting.append(request)
             case Decision.REQUEST_LEASE:
                 quota.waiting.append(request)
-                self._call(quota.request_lease(now, self.call_pacing.congestion))
+                self._call(quota, quota.request_lease(now, self.call_pacing.congestion))
 
     def _admit_without_counter(self, request: Request) -> None:
         """Decides by the local allowance; at random if the allowance covers only part of the request."""
@@ -169,9 +176,9 @@
             retry_after = request.quota.book_retry(self._lifecycle.now, request.event.units)
             self._lifecycle.reject(request, retry_after)
 
-    def _call(self, call: CounterCall) -> None:
+    def _call(self, quota: CustomerQuota, call: CounterCall) -> None:
         self._lifecycle.actions.append(AddToCounter(call.counter_name, call.amount, call.ttl))
-        self.pending_calls.setdefault(call.counter_name, deque()).append(call)
+        self.pending_calls.setdefault(call.counter_name, deque()).append(PendingCall(quota, call))
         self.call_pacing.on_call(self._lifecycle.now)
 
     def on_counter_answer(self, event: CounterAnswered) -> None:
@@ -179,25 +186,25 @@
 
         An answer that belongs to no pending call is ignored.
         """
-        call = self._take_pending_call(event.name)
-        if call is None:
+        pending = self._take_pending_call(event.name)
+        if pending is None:
             return
+        quota, call = pending
         now = self._lifecycle.now
         answered = self.call_pacing.on_answer(now, event.outcome, event.total, event.latency)
-        quota = call.quota
         quota.on_call_ended(call, now, was_added=event.outcome not in NEVER_RAN)
         if not call.is_lease:
             return
         if answered:
             for correction in quota.on_lease_answer(call, event, now, self._rng):
-                self._call(correction)
+                self._call(quota, correction)
         for request in quota.take_waiting():
             if answered:
                 self._admit(request, answered=True)
             else:
                 self._admit_without_counter(request)
 
-    def _take_pending_call(self, name: int) -> CounterCall | None:
+    def _take_pending_call(self, name: int) -> PendingCall | None:
         calls = self.pending_calls.get(name)
         if calls is None:
             return None
--- a/quota_ingress/policy/counted_quota.py
+++ b/quota_ingress/policy/counted_quota.py
@@ -223,7 +223,6 @@
         is_lease: bool = False,
     ) -> CounterCall:
         return CounterCall(
-            self,
             name,
             period_start=epoch_start,
             amount=(units + unreported) * self.count.weight(now, epoch_start),
--- a/quota_ingress/policy/lease.py
+++ b/quota_ingress/policy/lease.py
@@ -13,7 +13,6 @@
 from quota_ingress.policy.subsetting import mix
 
 if TYPE_CHECKING:
-    from quota_ingress.policy.customer_quota import CustomerQuota
     from quota_ingress.policy.settings import Plan
 
 LEASE_DURATION_S = 1.0  # of expected demand per lease; less costs more calls, more leaves units unused
@@ -29,9 +28,8 @@
 
 @dataclass(frozen=True, slots=True)
 class CounterCall:
-    """A call to the counter on behalf of one customer."""
+    """A call to the counter on behalf of one customer; the caller keeps whose it is."""
 
-    quota: CustomerQuota
     counter_name: int
     period_start: int  # us; start of the window or epoch with that name
     amount: float  # that the counter adds; for a counted quota, the units times their weight
--- a/quota_ingress/policy/leased_quota.py
+++ b/quota_ingress/policy/leased_quota.py
@@ -41,7 +41,6 @@
         self.lease_requested = True
         window_number = now // self.window
         return CounterCall(
-            self,
             counter_name(request.customer, window_number),
             period_start=window_number * self.window,
             amount=leased + unreported,
@@ -89,7 +88,6 @@
 
     def _correction(self, call: CounterCall, units: float) -> CounterCall:
         return CounterCall(
-            self,
             call.counter_name,
             call.period_start,
             amount=units,
