--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,14 +19,16 @@
 BACKENDS = 9
 WORK_S = 0.2
 PLAY_S = 60.0
-KB_PER_MB = 1000
 
 
 def resident_mb(pid: int) -> float:
-    """Returns the resident memory of a process in MB; 0 once it has ended."""
+    """Returns the anonymous resident memory of a process in MB; 0 once it has ended.
+
+    Pages of files, which other processes may share, are left out.
+    """
     try:
         for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith("RssAnon:"):
                 return int(line.split()[1]) * 1024 / 1e6
     except OSError:
         pass
@@ -50,7 +52,7 @@
     await ingress.wait_up()
     assert ingress.process
     pid = ingress.process.pid
-    record(f"platform: {resident_mb(pid):.1f} MB resident at rest, the limit is {MEMORY_MB} MB")
+    record(f"platform: {resident_mb(pid):.1f} MB of anonymous memory at rest, the limit is {MEMORY_MB} MB")
     ends = Counter[str]()
 
     async def client(number: int) -> None:
@@ -87,7 +89,7 @@
         if resident > MEMORY_MB and not killed:
             killed = True
             record(
-                f"platform: {resident:.1f} MB resident, over {MEMORY_MB} MB: the ingress is killed for memory"
+                f"platform: {resident:.1f} MB of anonymous memory, over {MEMORY_MB} MB: the ingress is killed for memory"
             )
             ingress.signal(signal.SIGKILL)
         await asyncio.sleep(0.005)
@@ -95,7 +97,9 @@
     record(
         f"clients: {sent} requests on {CLIENTS} connections, {sent * BODY_BYTES / 1e6:.0f} MB: {dict(ends)}"
     )
-    record(f"backends: {served['by a backend']} attempts; the ingress had {peak:.1f} MB resident at most")
+    record(
+        f"backends: {served['by a backend']} attempts; the ingress had {peak:.1f} MB of anonymous memory at most"
+    )
     return not killed
 
 
