Reject bodies of GET and HEAD that come in chunks: a backend ran them as requests

Cause: whether a GET has a body was checked with its head alone; a chunked body has no declared length, and what came later was appended to a head without framing. Change: the check runs again with each part of a body, and the forwarded head frames any body that follows. Nothing of such a body can reach a backend before its first byte has been checked.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -11,10 +11,15 @@
 from quota_ingress.net.downstream.host import ConnectionHost
 from quota_ingress.net.downstream.pipeline import RequestPipeline, must_be_streamed
 from quota_ingress.net.downstream.read_flow import ReadFlow
-from quota_ingress.net.downstream.request_parser import InvalidRequestError, encode_forwarded_head
+from quota_ingress.net.downstream.request_parser import (
+    InvalidRequestError,
+    check_body,
+    encode_forwarded_head,
+)
 from quota_ingress.net.downstream.response_writer import ResponseWriter, StreamState
 from quota_ingress.net.downstream.timeouts import is_body_too_slow, unread_timeout_us
 from quota_ingress.net.engine.ports import AttemptResult
+from quota_ingress.net.engine.requests import ParsedRequest
 from quota_ingress.net.http import (
     WRITE_BUFFER_BYTES,
     FramingError,
@@ -303,8 +308,7 @@
         try:
             self._pipeline.parsed = self._host.request_parser.parse(message)
         except InvalidRequestError as error:
-            self._keep_alive = self._keep_alive and self._has_more_input()  # to answer requests already sent
-            self._write_response(error.status, b"", str(error).encode() + b"\n")
+            self._reject_invalid(error)
             return False
         self._stages.accept_first_request(self)
         if not message.body.complete:
@@ -313,6 +317,10 @@
                 self._writer.write(self.transport, response.CONTINUE)
         return True
 
+    def _reject_invalid(self, error: InvalidRequestError) -> None:
+        self._keep_alive = self._keep_alive and self._has_more_input()  # to answer requests already sent
+        self._write_response(error.status, b"", str(error).encode() + b"\n")
+
     def _advance(self, message: Message) -> None:
         """Passes the request to the engine when its body is complete or has become too long to buffer."""
         body = message.body
@@ -324,9 +332,17 @@
             if body.complete and self._body_arrival:
                 arrived_at = self._body_arrival.arrived_at
                 self._engine.on_body_complete(self._pipeline.engine_request_id, arrived_at)
+        elif parsed := self._pipeline.parsed:
+            self._advance_parsed(message, parsed, length_became_known)
+
+    def _advance_parsed(self, message: Message, parsed: ParsedRequest, length_became_known: bool) -> None:
+        body = message.body
+        try:
+            check_body(message)
+        except InvalidRequestError as error:
+            self._reject_invalid(error)
             return
-        parsed = self._pipeline.parsed
-        if parsed is None or not (body.complete or must_be_streamed(body)):
+        if not (body.complete or must_be_streamed(body)):
             return
         if peer_has_closed(self.transport):  # while the request waited in the accept queue or the pipeline
             self._abort_after_disconnect()
--- a/quota_ingress/net/downstream/request_parser.py
+++ b/quota_ingress/net/downstream/request_parser.py
@@ -59,6 +59,7 @@
         """
         headers = message.headers
         request_class = self._request_class(message)
+        check_body(message)
         if headers.get(b"expect", b"100-continue").lower() != b"100-continue":
             raise InvalidRequestError(417, "only 100-continue can be expected")
         plan = self._plan(headers.get(b"x-plan", b""))
@@ -84,10 +85,9 @@
         )
 
     def _request_class(self, message: Message) -> int:
-        """Returns the class named by the first segment of the path.
+        """Returns the class named by the first segment of the path, and checks that it takes the method.
 
-        Checks that the class takes the method and that only a POST has a body. Converts a target in absolute
-        form to origin form.
+        Converts a target in absolute form to origin form.
         """
         method = message.method
         if method not in METHODS:
@@ -100,8 +100,6 @@
             raise InvalidRequestError(404, "no such class of requests")
         if method.replace(b"HEAD", b"GET") != self._methods[request_class]:
             raise InvalidRequestError(405, "this class takes another method")
-        if method != b"POST" and (message.body.declared_length or message.body.received):
-            raise InvalidRequestError(400, "GET takes no body")
         return request_class
 
     def _plan(self, name: bytes) -> int:
@@ -138,15 +136,29 @@
         return quota
 
 
+def check_body(message: Message) -> None:
+    """Checks that only a POST has a body, as far as the body has been received.
+
+    A chunked body has no declared length, so this has to be called again whenever more of it is received.
+
+    Raises:
+        InvalidRequestError: The method takes no body.
+    """
+    if message.method != b"POST" and (message.body.declared_length or message.body.received):
+        raise InvalidRequestError(400, "GET takes no body")
+
+
 def encode_forwarded_head(message: Message, request_id: bytes) -> bytes:
     """Returns the head sent to a backend, except Request-Timeout and the final empty line.
 
     Forwards the target, which must be in origin form, Host, Request-Id, Idempotency-Key and Content-Type
     unchanged. Sets `body.chunked`, which tells whether the body is forwarded with chunked transfer coding.
+    Whatever the method, a body that follows is framed, so that the backend cannot take it for a request.
     """
     headers = message.headers
     body = message.body
     body.chunked = body.declared_length is None and not body.complete
+    length = body.received if body.complete else body.declared_length
     host = headers.get(b"host", b"backend")
     head = b"%b %b HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n" % (
         message.method,
@@ -156,9 +168,8 @@
     )
     if body.chunked:
         head += b"Transfer-Encoding: chunked\r\n"
-    elif message.method == b"POST":
-        length = body.received if body.complete else body.declared_length or 0
-        head += b"Content-Length: %d\r\n" % length
+    elif length or message.method == b"POST":
+        head += b"Content-Length: %d\r\n" % (length or 0)
     if key := headers.get(b"idempotency-key"):
         head += b"Idempotency-Key: %b\r\n" % key
     if content_type := headers.get(b"content-type"):
--- a/tests/test_message_reader.py
+++ b/tests/test_message_reader.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from quota_ingress.net.downstream.request_parser import encode_forwarded_head
+from quota_ingress.net.http import MemoryBudget, RequestReader
 from quota_ingress.policy.events import RequestArrived
 from tests.net_helpers import (
     OK,
@@ -116,3 +118,38 @@
     assert answer.split(b" ")[1] == status and b"Connection: close" in answer
     assert not pair.server.peers and not pair.ingress.script.events_of_type(RequestArrived)
     writer.close()
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+@pytest.mark.parametrize("ending", [b"0\r\n\r\n", b""])
+async def test_a_body_that_follows_a_get_in_chunks_is_rejected_and_reaches_no_backend(
+    pair: IngressAndBackend, method: bytes, ending: bytes
+) -> None:
+    """Guards against request smuggling: the chunks were forwarded without a length, as a second request."""
+    pair.server.on_data = respond_with(OK)
+    head = request(Transfer_Encoding="chunked").replace(b"GET", method)
+    reader, writer = await pair.connect(head)
+    async with asyncio.timeout(10):
+        while not pair.ingress.listener.stages.receiving_body:
+            await asyncio.sleep(0)
+    smuggled = request("b2")
+    writer.write(b"%x\r\n%b\r\n%b" % (len(smuggled), smuggled, ending))
+    assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 400 ")
+    assert not pair.ingress.script.events_of_type(RequestArrived) and not pair.server.peers
+    writer.close()
+
+
+async def test_a_get_whose_chunked_body_is_empty_is_forwarded_without_a_body(pair: IngressAndBackend) -> None:
+    pair.server.on_data = respond_with(OK)
+    reader, writer = await pair.connect(request(Transfer_Encoding="chunked"))
+    writer.write(b"0\r\n\r\n")
+    assert (await read_response(reader)).endswith(b"warm")
+    writer.close()
+
+
+def test_a_body_is_framed_whatever_the_method() -> None:
+    """Guards against request smuggling, should a check of methods ever miss a body."""
+    reader = RequestReader(MemoryBudget())
+    reader.feed(b"GET /read HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n")
+    (message,) = reader.take_updated()
+    assert b"\r\nContent-Length: 2\r\n" in encode_forwarded_head(message, b"a1")
