--- a/quota_ingress/net/upstream/client.py
+++ b/quota_ingress/net/upstream/client.py
@@ -57,6 +57,7 @@
             connect_timeout_s=connect_timeout_us / US_PER_S,
         )
         self._pools: dict[int, ConnectionPool] = {}
+        self._dropped_pools: list[ConnectionPool] = []  # of removed backends, until their attempts have ended
         self._to_withdraw: set[int] = set()  # backends that changed address, restarted or accept no requests
         self._loop = asyncio.get_running_loop()
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -67,7 +68,7 @@
         """Stops the sweep and closes all connections."""
         if self._sweep_timer:
             self._sweep_timer.cancel()
-        for pool in self._pools.values():
+        for pool in self._all_pools():
             pool.withdraw()
             pool.close_busy(UpstreamCloseReason.PROCESS_END)
 
@@ -88,11 +89,15 @@
             self._to_withdraw.add(backend)
 
     def reconcile(self, removed: Iterable[int]) -> None:
-        """Closes the connections that registered entries made invalid; drops the pools of `removed`."""
+        """Closes the connections that registered entries made invalid; drops the pools of `removed`.
+
+        Attempts that a removed backend is at work on continue, and are swept until they end.
+        """
         for backend in removed:
             if pool := self._pools.pop(backend, None):
                 pool.accepts_requests = False
                 pool.withdraw()
+                self._dropped_pools.append(pool)
         to_withdraw = self._to_withdraw
         self._to_withdraw = set()
         for backend in to_withdraw & self._pools.keys():
@@ -142,10 +147,14 @@
     def _evict_idle(self) -> bool:
         return any(pool.evict_idle() for pool in self._pools.values())
 
+    def _all_pools(self) -> list[ConnectionPool]:
+        return [*self._pools.values(), *self._dropped_pools]
+
     def _sweep(self) -> None:
-        for pool in self._pools.values():
+        for pool in self._all_pools():
             pool.close_expired()
             pool.fail_stalled(since=self._loop.time() - STALL_TIMEOUT_S)
+        self._dropped_pools = [pool for pool in self._dropped_pools if pool.busy]
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
+from quota_ingress.net.discovery.endpoint_codec import decode_endpoint_list
 from quota_ingress.net.downstream.pipeline import MAX_BUFFERED_REQUEST_BYTES
 from quota_ingress.net.engine.requests import ParsedRequest
 from quota_ingress.net.http import BODY_BUFFER_BYTES, WRITE_BUFFER_BYTES, Body, MemoryBudget
+from quota_ingress.net.upstream import client as upstream_client
 from quota_ingress.policy.actions import Action, Reject, SendAttempt
 from quota_ingress.policy.events import AttemptEnded, Event, Outcome, RequestArrived, StreamStarted
 from tests.net_helpers import (
+    HOST,
     OK,
     Peer,
     Script,
@@ -269,3 +273,32 @@
     assert network.sent[0].aborted
     (ended,) = network.script.events_of_type(AttemptEnded)
     assert ended.outcome is Outcome.TIMEOUT and ended.latency == 300_000
+
+
+@pytest.mark.parametrize("is_snapshot", [False, True])
+async def test_a_response_that_stalls_after_its_backend_was_removed_is_ended(
+    pair: IngressAndBackend, monkeypatch: pytest.MonkeyPatch, is_snapshot: bool
+) -> None:
+    """Guards against a client that waits forever: connections to removed backends were not swept."""
+    reader, writer = await pair.connect(request())
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
+    await reader.readuntil(b"\r\n\r\n")
+    removed = {"name": "s-1", "address": f"{HOST}:{pair.server.port}", "status": "removed"}
+    entries = [] if is_snapshot else [removed]
+    pair.ingress.engine.update_endpoints(
+        decode_endpoint_list({"index": 2, "snapshot": is_snapshot, "endpoints": entries})
+    )
+    backends = pair.ingress.backends
+    backends._sweep()
+    assert await reader.readexactly(200_000) == MEGABYTE[:200_000]  # it may still give the rest
+    assert not reader.at_eof()
+    monkeypatch.setattr(upstream_client, "STALL_TIMEOUT_S", -1.0)
+    backends._sweep()
+    async with asyncio.timeout(10):
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+    (ended,) = await pair.ingress.script.wait_for_events(AttemptEnded)
+    assert ended.outcome is Outcome.RESET
+    assert pair.ingress.sockets.backends.in_use == 0 and not backends._dropped_pools
+    writer.close()
