Finish responses that are being passed on before the process ends after SIGTERM

Cause: the shutdown counted a request as finished once its response had begun, waited a fixed time and aborted the rest. Change: after the deadline it goes on while a connection owes a response or writes one; the limits for stalled backends and for clients that read nothing end each of them.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -160,6 +160,14 @@
         open_request = bool(self._pipeline.waiting) or self.reader.in_message or self._has_current_request
         return open_request and self not in self._stages.lingering
 
+    @property
+    def is_responding(self) -> bool:
+        """Whether a response is owed or is being written: ending the connection would cut it off."""
+        is_streaming = self._writer.body is not None
+        return is_streaming or bool(
+            self.transport.get_write_buffer_size() or self._pipeline.count_unanswered()
+        )
+
     def is_too_slow(self, now: int) -> bool:
         """Whether the body of the current request arrives too slowly or has stalled."""
         current = self._pipeline.current
--- a/quota_ingress/net/downstream/listener.py
+++ b/quota_ingress/net/downstream/listener.py
@@ -67,6 +67,11 @@
         """All open connections."""
         return self.stages.open
 
+    @property
+    def is_responding(self) -> bool:
+        """Whether any connection owes a response or is writing one."""
+        return any(connection.is_responding for connection in self.connections)
+
     @property
     def is_accepting(self) -> bool:
         """Whether this process accepts connections, now or when capacity becomes available."""
--- a/quota_ingress/net/downstream/stages.py
+++ b/quota_ingress/net/downstream/stages.py
@@ -14,6 +14,10 @@
     def is_busy(self) -> bool:
         """Whether a request has begun and has not been answered."""
 
+    @property
+    def is_responding(self) -> bool:
+        """Whether a response is owed or is being written: ending the connection would cut it off."""
+
     def is_too_slow(self, now: int) -> bool:
         """Whether the body of the current request arrives too slowly or has stalled."""
 
--- a/quota_ingress/net/lifecycle/graceful_shutdown.py
+++ b/quota_ingress/net/lifecycle/graceful_shutdown.py
@@ -12,16 +12,18 @@
 ACCEPT_SECONDS = 0.55  # after SIGTERM; new connections keep arriving for 0.4 s
 MAX_DEADLINE_SECONDS = 3.0  # the longest request deadline that the platform waits for
 DEADLINE_MARGIN_SECONDS = 0.4  # beyond that deadline; less than the platform waits
-LAST_ANSWERS_SECONDS = 0.15  # after deadline and margin, to write the last responses
+LAST_ANSWERS_SECONDS = 0.15  # after deadline and margin, for clients to read the last responses
 IDLE_CHECK_SECONDS = 0.01
 CLOSE_SECONDS = 0.03  # at most, for the event loop to finish closing connections
 
 
 async def finish_requests(engine: Engine, listener: Listener) -> None:
-    """Accepts for ACCEPT_SECONDS, finishes accepted requests, and returns before the process is killed.
+    """Accepts for ACCEPT_SECONDS, finishes accepted requests, and returns once nothing is owed to a client.
 
-    Requests still open at the end are ended as failed. After an upgrade, the successor accepts new
-    connections and this process accepts none.
+    Requests without a response at the longest deadline are ended as failed, before the process is killed. A
+    response that is being passed on continues until it is whole, or until its backend or client has stalled:
+    cutting it off would lose what was served. After an upgrade, the successor accepts new connections
+    and this process accepts none.
     """
     loop = asyncio.get_running_loop()
     longest_deadline = max(request_class.deadline for request_class in engine.settings.classes) / 1e6
@@ -34,7 +36,8 @@
     while (engine.in_flight or listener.connections) and loop.time() < end:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
     engine.fail_all()
-    while listener.connections and loop.time() < end + LAST_ANSWERS_SECONDS:
+    end += LAST_ANSWERS_SECONDS
+    while listener.connections and (loop.time() < end or listener.is_responding):
         listener.close_remaining()
         await asyncio.sleep(IDLE_CHECK_SECONDS)
 
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -23,6 +23,7 @@
     respond_with,
 )
 from tests.process_helpers import config_document, fetch, listening_port, start_ingress
+from tests.support.streaming import MEGABYTE, IngressAndBackend
 
 
 def test_a_process_without_discovery_or_counter_starts_and_ends_with_0(tmp_path: Path) -> None:
@@ -148,3 +149,63 @@
     _, errors = await asyncio.to_thread(process.communicate, timeout=60)
     assert process.returncode == 0 and "Traceback" not in errors
     server.stop()
+
+
+@pytest.fixture
+def no_grace(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets the time to finish requests end immediately."""
+    for name in ("ACCEPT_SECONDS", "MAX_DEADLINE_SECONDS", "DEADLINE_MARGIN_SECONDS", "LAST_ANSWERS_SECONDS"):
+        monkeypatch.setattr(graceful_shutdown, name, 0.0)
+
+
+@pytest.mark.usefixtures("no_grace")
+@pytest.mark.parametrize("handed_over", [False, True])
+async def test_a_shutdown_waits_for_a_response_that_is_being_passed_on(
+    pair: IngressAndBackend, handed_over: bool
+) -> None:
+    """Guards against cutting off a long response that its backend still gives, 3.55 s after SIGTERM."""
+    reader, writer = await pair.connect(request("r0"))
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
+    await reader.readuntil(b"\r\n\r\n")
+    listener = pair.ingress.listener
+    if handed_over:
+        listener.hand_over()
+    shutdown = asyncio.create_task(graceful_shutdown.finish_requests(pair.ingress.engine, listener))
+    while not pair.ingress.engine.shutting_down:
+        await asyncio.sleep(0)
+    writer.write(request("r1"))  # the client has not been told of the end
+    await asyncio.sleep(2 * graceful_shutdown.IDLE_CHECK_SECONDS)
+    assert not shutdown.done()
+    peer.transport.write(MEGABYTE[200_000:])
+    async with asyncio.timeout(10):
+        assert await reader.readexactly(len(MEGABYTE)) == MEGABYTE
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 429 ")
+        await shutdown
+    assert pair.ingress.engine.event_log.violations == 0
+    writer.close()
+
+
+@pytest.mark.usefixtures("no_grace")
+async def test_a_shutdown_waits_for_a_client_that_still_reads_its_last_response(
+    pair: IngressAndBackend,
+) -> None:
+    pair.server.on_data = respond_with(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (16 * len(MEGABYTE), 16 * MEGABYTE)
+    )
+    reader, writer = await pair.connect(request("r0"))
+    writer.transport.pause_reading()
+    listener = pair.ingress.listener
+    async with asyncio.timeout(10):
+        while not listener.stages.write_blocked:
+            await asyncio.sleep(0)
+    shutdown = asyncio.create_task(graceful_shutdown.finish_requests(pair.ingress.engine, listener))
+    await asyncio.sleep(2 * graceful_shutdown.IDLE_CHECK_SECONDS)
+    assert not shutdown.done()
+    writer.transport.resume_reading()
+    async with asyncio.timeout(20):
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(16):
+            assert await reader.readexactly(len(MEGABYTE)) == MEGABYTE
+        await shutdown
+    writer.close()
