End connections of clients that send ahead in every drain, with all that was read answered

Cause: a draining connection was kept alive while any input followed, and the client decides about that. Evidence: the ingress's own log, 'request closed unanswered'. Change: stages of a draining connection, for SIGTERM, handover and operators alike: read ahead 0.5 s, serve what was read until 2.5 s, reject the rest; the last response announces the end.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -8,6 +8,7 @@
 from quota_ingress.net.downstream import response
 from quota_ingress.net.downstream.body_arrival import BodyArrival
 from quota_ingress.net.downstream.close_reason import UNANSWERED_ALLOWED, CloseReason
+from quota_ingress.net.downstream.drain_stage import DrainStage, drain_stage
 from quota_ingress.net.downstream.host import ConnectionHost
 from quota_ingress.net.downstream.pipeline import RequestPipeline, must_be_streamed
 from quota_ingress.net.downstream.read_flow import ReadFlow
@@ -56,6 +57,7 @@
         self._body_arrival: BodyArrival | None = None  # of the streamed body of the current request
         self._close_reason: CloseReason | None = None  # None until this side closes the connection
         self._over_limit = False  # accepted above the descriptor limit, so its requests are rejected
+        self._accepted_at = 0
         self._message_started_at = 0
         self._last_data_at = 0
         self._keep_alive = True
@@ -68,9 +70,10 @@
             limit_socket_buffers(transport.get_extra_info("socket"))
         self._over_limit = not self._host.descriptors.ensure_capacity()
         self._host.descriptors.acquire()
-        self._message_started_at = self._host.now()
-        self._writer.measured_since = self._message_started_at
-        self._stages.add(self, self._message_started_at)
+        self._accepted_at = self._host.now()
+        self._message_started_at = self._accepted_at
+        self._writer.measured_since = self._accepted_at
+        self._stages.add(self, self._accepted_at)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the descriptor and all requests, and reports the disconnect to the engine."""
@@ -231,7 +234,7 @@
         body.chunked = body.declared_length is None and not is_http_1_0
         if is_http_1_0 and body.declared_length is None:
             self._keep_alive = False  # in HTTP/1.0 such a body is delimited by the end of the connection
-        self._keep_alive = self._can_keep_alive()
+        self._decide_keep_alive()
         self._writer.start_stream(body, self._host.now())
         head = response.encode_stream_head(answer.content_type, body, self._keep_alive)
         self._writer.write(self.transport, head)
@@ -249,14 +252,21 @@
     # Reading.
 
     def _pause_reading_if_full(self) -> None:
-        if not self._read_flow.paused and self._pipeline.is_full() and not self.transport.is_closing():
-            self._check_body_arrival(paused=False)
-            self._read_flow.pause(
-                self.transport, self._host.now(), self._abort_after_disconnect, self._check_body_arrival
-            )
+        if self._pipeline.is_full():
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if self._read_flow.paused or self.transport.is_closing():
+            return
+        self._check_body_arrival(paused=False)
+        self._read_flow.pause(
+            self.transport, self._host.now(), self._abort_after_disconnect, self._check_body_arrival
+        )
 
     def _resume_reading_if_drained(self) -> None:
-        if self._read_flow.paused and self._pipeline.is_drained() and not self.transport.is_closing():
+        if not self._read_flow.paused or self.transport.is_closing():
+            return
+        if self._pipeline.is_drained() and self._may_read():
             self._check_body_arrival()
             self._last_data_at = self._host.now()
             # The time of the pause does not count towards the client's timeout.
@@ -292,6 +302,15 @@
     def _can_start_request(self) -> bool:
         return not self._has_current_request and self not in self._stages.write_blocked
 
+    @property
+    def _drain_stage(self) -> DrainStage:
+        return drain_stage(self._host.draining_since, self._accepted_at, self._host.now())
+
+    def _may_read(self) -> bool:
+        """Returns whether to read more: the rest of the current request, or further ones at this stage."""
+        reads_ahead = self._drain_stage in (DrainStage.SERVING, DrainStage.READING)
+        return reads_ahead or not self._pipeline.current_is_complete
+
     def _has_more_input(self) -> bool:
         """Returns whether data after the current request has been parsed or is unread in the socket."""
         if self._pipeline.waiting or self._more_messages:
@@ -308,8 +327,12 @@
             self._write_response(200 if up else 503, b"", b"up\n" if up else b"leaving\n")
         elif self._over_limit:
             self.reject(self._engine.settings.limits.max_retry_after, status=503)
+        elif self._drain_stage is DrainStage.REJECTING:
+            self._engine.event_log.event("rejected", "connection draining")
+            self.reject(0)
         elif self._parse(message):
             self._advance(message)
+        self._resume_reading_if_drained()  # its body may be incomplete
 
     def _parse(self, message: Message) -> bool:
         """Parses the head, and rejects an invalid request. Returns whether the request is valid."""
@@ -387,16 +410,29 @@
             return
         if self._pipeline.waiting:
             self._start_next_request()
-        self._resume_reading_if_drained()
+        else:
+            self._resume_reading_if_drained()
 
     # Responding.
 
+    def _decide_keep_alive(self) -> None:
+        """Decides whether this response is the last one. If requests are read no more, that begins here."""
+        if not self._may_read():
+            self._pause_reading()
+        self._keep_alive = self._can_keep_alive()
+
     def _can_keep_alive(self) -> bool:
         if not (self._keep_alive and self._pipeline.current_is_complete):
             return False
         if self.reader.framing_lost and not self._pipeline.waiting:
             return False
-        return not self._host.is_draining or self._has_more_input()  # to answer requests already sent
+        match self._drain_stage:
+            case DrainStage.SERVING:
+                return True
+            case DrainStage.READING:
+                return self._has_more_input()
+            case _:
+                return self._pipeline.has_complete_waiting or self._more_messages
 
     def _write_response(self, status: int, headers: bytes, body: bytes, declared_length: bytes = b"") -> None:
         """Writes a complete response.
@@ -404,7 +440,7 @@
         `declared_length` is the Content-Length of a 200 response to HEAD, which has no body.
         """
         self._pipeline.engine_request_id = None
-        self._keep_alive = self._can_keep_alive()
+        self._decide_keep_alive()
         length = b"%d" % len(body)
         if self._pipeline.current and self._pipeline.current.method == b"HEAD":
             length = declared_length if status == 200 else length
--- a/quota_ingress/net/downstream/host.py
+++ b/quota_ingress/net/downstream/host.py
@@ -22,11 +22,8 @@
     stages: ConnectionStages
     max_idle: int  # maximum number of idle connections
     now: Callable[[], int]  # process clock in us
+    draining_since: int | None  # us: when connections began to be closed after their responses, or None
 
     @property
     def in_service(self) -> bool:
         """Whether health checks are answered with 200."""
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether connections are closed after their current responses."""
--- a/quota_ingress/net/downstream/listener.py
+++ b/quota_ingress/net/downstream/listener.py
@@ -34,6 +34,7 @@
         stopping: The process is ending, or another process accepts connections.
         handed_over: Another process accepts connections.
         out_of_service: Operators have taken this ingress out of service and not put it back.
+        draining_since: When (us) connections began to be closed after their responses; None if they are not.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.stopping = False
         self.handed_over = False
         self.out_of_service = False
+        self.draining_since: int | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._eviction_timer: asyncio.TimerHandle | None = None
         self._acceptor: Acceptor | None = None
@@ -77,11 +79,6 @@
         """Whether this process accepts connections, now or when capacity becomes available."""
         return self._acceptor is not None and not self.handed_over
 
-    @property
-    def is_draining(self) -> bool:
-        """Whether connections are closed after their current responses."""
-        return self.stopping or self.out_of_service
-
     @property
     def in_service(self) -> bool:
         """Whether health checks are answered with 200.
@@ -128,21 +125,25 @@
         """Stops accepting, as another process accepts from the same queue. Open connections are drained."""
         self.handed_over = True
         self.stopping = True
+        self._update_draining()
         self.pause_accepting()
 
     def resume_serving(self) -> None:
         """Undoes `hand_over` after the process that took over has ended."""
         self.handed_over = False
         self.stopping = False
+        self._update_draining()
         self.resume_accepting()
 
     def set_out_of_service(self, out_of_service: bool) -> None:
         """Takes the ingress out of service or puts it back. Unlike at shutdown, it continues to accept."""
         self.out_of_service = out_of_service
+        self._update_draining()
 
     def begin_shutdown(self) -> None:
         """Begins to drain: closes idle connections now, and the others after their current responses."""
         self.stopping = True
+        self._update_draining()
         for connection in list(self.stages.idle):
             connection.close_if_idle()
 
@@ -170,6 +171,12 @@
         for connection in list(self.connections):
             connection.abort(CloseReason.PROCESS_END)
 
+    def _update_draining(self) -> None:
+        if not (self.stopping or self.out_of_service):
+            self.draining_since = None
+        elif self.draining_since is None:
+            self.draining_since = self.now()
+
     def _new_connection(self, queued_since: float | None) -> ClientConnection:
         """Creates the protocol of a connection.
 
@@ -212,4 +219,4 @@
         self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.now()
         self._delay_monitor.record_call(now)
-        enforce_timeouts(self.stages, now, self.is_draining)
+        enforce_timeouts(self.stages, now, self.draining_since is not None)
--- a/quota_ingress/net/downstream/pipeline.py
+++ b/quota_ingress/net/downstream/pipeline.py
@@ -45,6 +45,11 @@
         """Whether the engine is handling a request whose body is complete."""
         return self.engine_request_id is not None and self.current_is_complete
 
+    @property
+    def has_complete_waiting(self) -> bool:
+        """Whether a request waits that has been received whole."""
+        return any(message.body.complete for message in self.waiting)
+
     def is_full(self) -> bool:
         """Whether reading should pause.
 
