Keep only the fields that are used, and count heads in the memory budget

Cause: all fields of a head were kept in a dictionary, up to 40 times their bytes, and heads were not counted as memory. Change: readers keep the fields that the program uses; heads count in the budget and in the bytes that may wait on a connection; short bodies are rejected, too, while the budget is overcommitted.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -13,6 +13,7 @@
 from quota_ingress.net.downstream.pipeline import RequestPipeline, must_be_streamed
 from quota_ingress.net.downstream.read_flow import ReadFlow
 from quota_ingress.net.downstream.request_parser import (
+    FIELDS,
     InvalidRequestError,
     check_body,
     encode_forwarded_head,
@@ -47,7 +48,7 @@
         `queued_since` (us) is the earliest time at which the connection may have entered the accept queue.
         None: it has not waited there.
         """
-        super().__init__(RequestReader(host.memory_budget))
+        super().__init__(RequestReader(host.memory_budget, FIELDS))
         self._host = host
         self._engine = host.engine
         self._stages = host.stages
@@ -373,15 +374,15 @@
         except InvalidRequestError as error:
             self._reject_invalid(error)
             return
+        if self._host.memory_budget.is_overcommitted and (body.received or not body.complete):
+            self._engine.event_log.event("rejected", "no memory left", id=parsed.id)
+            self.reject(self._engine.settings.limits.max_retry_after, status=503)
+            return
         if not (body.complete or must_be_streamed(body)):
             return
         if peer_has_closed(self.transport):  # while the request waited in the accept queue or the pipeline
             self._abort_after_disconnect()
             return
-        if not body.complete and self._host.memory_budget.is_overcommitted:
-            self._engine.event_log.event("rejected", "no memory left", id=parsed.id)
-            self.reject(self._engine.settings.limits.max_retry_after, status=503)
-            return
         parsed.received_at = message.completed_at if body.complete else self._host.now()
         if length_became_known:
             parsed.head = encode_forwarded_head(message, parsed.id)
--- a/quota_ingress/net/downstream/pipeline.py
+++ b/quota_ingress/net/downstream/pipeline.py
@@ -8,7 +8,7 @@
 from quota_ingress.net.http import BODY_BUFFER_BYTES, Body, Message
 
 MAX_PIPELINED_REQUESTS = 8  # waiting behind the current one; with more, reading pauses
-MAX_PIPELINED_BODY_BYTES = BODY_BUFFER_BYTES  # of all waiting requests of a connection; likewise
+MAX_PIPELINED_BYTES = BODY_BUFFER_BYTES  # in the heads and bodies of those requests; likewise
 MAX_BUFFERED_REQUEST_BYTES = 1024 * 1024  # longer bodies are streamed
 
 
@@ -53,9 +53,9 @@
     def is_full(self) -> bool:
         """Whether reading should pause.
 
-        It should if too many requests wait, if one of them has a long body or all of them together have, or
-        if too much of the body that is being streamed is buffered. While the memory budget is exhausted, no
-        body is read before it is its turn.
+        It should if too many requests wait, if one of them has a long body, if all of them together are too
+        large, or if too much of the body that is being streamed is buffered. While the memory budget is
+        exhausted, nothing is read behind a waiting request.
         """
         return self._exceeds(MAX_PIPELINED_REQUESTS, 1.0)
 
@@ -93,21 +93,20 @@
         return int(self.engine_has_complete_request) + sum(m.body.complete for m in self.waiting)
 
     def _exceeds(self, max_requests: int, limit_fraction: float) -> bool:
-        if len(self.waiting) > max_requests or self._waiting_bodies_exceed(limit_fraction):
+        if len(self.waiting) > max_requests or self._waiting_bytes_exceed(limit_fraction):
             return True
         if self.current is None or self.engine_request_id is None:
             return False
         body = self.current.body
         return not body.complete and body.buffered > limit_fraction * body.stream_limit
 
-    def _waiting_bodies_exceed(self, limit_fraction: float) -> bool:
+    def _waiting_bytes_exceed(self, limit_fraction: float) -> bool:
         bodies = [message.body for message in self.waiting]
         if any(body.is_long for body in bodies):
             return True
-        buffered = sum(body.buffered for body in bodies)
-        if buffered and bodies[0].budget.is_exhausted:
+        if bodies and bodies[0].budget.is_exhausted:
             return True
-        return buffered > limit_fraction * MAX_PIPELINED_BODY_BYTES
+        return sum(body.held for body in bodies) > limit_fraction * MAX_PIPELINED_BYTES
 
 
 def must_be_streamed(body: Body) -> bool:
--- a/quota_ingress/net/downstream/request_parser.py
+++ b/quota_ingress/net/downstream/request_parser.py
@@ -19,6 +19,21 @@
 QUOTA_FIELDS = 3
 ABSOLUTE_FORM = re.compile(rb"^[Hh][Tt][Tt][Pp]://[^/?#]*/?")
 CUSTOMER_NUMBER_LIMIT = 1 << 33  # exclusive
+FIELDS = frozenset(
+    {
+        b"client-retry",
+        b"content-type",
+        b"cookie",
+        b"expect",
+        b"host",
+        b"idempotency-key",
+        b"request-id",
+        b"request-timeout",
+        b"x-plan",
+        b"x-quota",
+    }
+)
+"""The lower-case names of the fields that are used; all others are ignored."""
 METHODS = (b"GET", b"HEAD", b"POST")
 US_PER_MS = 1000
 MAX_TIMEOUT_DEADLINES = 2  # class deadlines; a Request-Timeout up to this is accepted, but capped at one
--- a/quota_ingress/net/http/body.py
+++ b/quota_ingress/net/http/body.py
@@ -42,6 +42,7 @@
         "on_update",
         "received",
         "released",
+        "reserved",
         "truncated",
     )
 
@@ -51,6 +52,7 @@
         self.declared_length: int | None = 0  # None: delimited by the last chunk or by connection close
         self.received = 0
         self.discarded = 0
+        self.reserved = 0  # bytes held beside the buffer until the release, such as the head of the message
         self.complete = False
         self.truncated = False  # the remaining bytes will never be received
         self.released = False  # the buffer has been freed; further bytes are only counted
@@ -63,6 +65,11 @@
         """Number of bytes held in memory."""
         return len(self.data)
 
+    @property
+    def held(self) -> int:
+        """Number of bytes that the budget counts."""
+        return self.reserved + len(self.data)
+
     @property
     def stream_limit(self) -> int:
         """Number of buffered bytes above which no more of a streamed body is read; 0 without memory left."""
@@ -73,6 +80,12 @@
         """Whether the received or declared length exceeds `BODY_BUFFER_BYTES`."""
         return self.received > BODY_BUFFER_BYTES or (self.declared_length or 0) > BODY_BUFFER_BYTES
 
+    def reserve(self, count: int) -> None:
+        """Counts `count` further bytes in the budget until the release."""
+        if not self.released:
+            self.reserved += count
+            self.budget.used += count
+
     def append(self, part: bytes) -> None:
         """Adds received bytes. After `release`, the bytes are counted but not stored."""
         self.received += len(part)
@@ -98,7 +111,8 @@
         """Frees the buffer and removes both callbacks. Bytes received later are only counted."""
         if not self.released:
             self.released = True
-            self.budget.used -= len(self.data)
+            self.budget.used -= self.held
+            self.reserved = 0
             self.discarded += len(self.data)
             self.data = bytearray()
             self.on_drained()
--- a/quota_ingress/net/http/message_reader.py
+++ b/quota_ingress/net/http/message_reader.py
@@ -8,7 +8,7 @@
 
 import math
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import ClassVar, NoReturn
 
 import httptools
@@ -20,6 +20,8 @@
 MAX_TRAILER_BYTES = 16 * 1024
 MAX_REQUEST_BODY_BYTES = 48 * 1024 * 1024
 FIELD_OVERHEAD_BYTES = 4  # per header field, beside its name and value: colon, space, CRLF
+MESSAGE_OVERHEAD_BYTES = 2048  # of the objects that hold a request, beside its head and body
+FRAMING_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
 BODYLESS_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 
@@ -58,22 +60,32 @@
         self.method = b""
         self.target = b""
         self.status = 0
-        self.headers: dict[bytes, bytes] = {}  # by lower-case name; repeated fields are joined by ", "
+        self.headers: dict[
+            bytes, bytes
+        ] = {}  # fields that are kept, by lower-case name; repeated ones joined
         self.body = Body(budget)
         self.keep_alive = True
         self.is_http_1_0 = False
 
+    @property
+    def head_bytes(self) -> int:
+        """Number of bytes in the target and in the fields that are kept."""
+        return len(self.target) + sum(len(name) + len(value) for name, value in self.headers.items())
+
 
 class MessageReader(ABC):
     """Parses the messages of one direction of a connection. Subclasses read requests or responses.
 
-    The `on_...` methods are httptools callbacks.
+    Of the fields of a head only those that the program uses are kept: many short fields need far more memory
+    than their bytes. The `on_...` methods are httptools callbacks.
     """
 
     max_body_bytes: ClassVar[float] = math.inf
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, fields: Collection[bytes] = ()) -> None:
+        """Starts before the first message. `fields` are the lower-case names of the fields to keep."""
         self.budget = budget
+        self._kept_fields = FRAMING_FIELDS.union(fields)
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser | None = self._new_parser()
         self._updated: list[Message] = []  # not yet returned by `take_updated`
         self._in_head = True  # or before the first byte of the next message
@@ -188,7 +200,7 @@
             self._reject(431, "the target is too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field. A trailer field only counts towards its limit and is never a header."""
+        """Stores a field that is kept. A trailer field counts towards its limit and is never a header."""
         if self._replaying_head:
             return
         self._field_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
@@ -198,8 +210,10 @@
             return
         if self._field_bytes > MAX_HEAD_BYTES:
             self._reject(431, "the head is too large")
-        headers = self.message.headers
         name = name.lower()
+        if name not in self._kept_fields:
+            return
+        headers = self.message.headers
         value = value.rstrip(b" \t")  # httptools does not strip trailing whitespace
         previous = headers.get(name)
         headers[name] = value if previous is None else previous + b", " + value
@@ -247,6 +261,7 @@
     def _read_start_line(self, message: Message) -> None:
         assert self._parser is not None
         message.method = self._parser.get_method()
+        message.body.reserve(MESSAGE_OVERHEAD_BYTES + message.head_bytes)
         length = message.headers.get(b"content-length")
         coding = message.headers.get(b"transfer-encoding")
         if coding is not None and message.is_http_1_0:
@@ -279,8 +294,9 @@
 
     _parser: httptools.HttpResponseParser | None
 
-    def __init__(self, budget: MemoryBudget) -> None:
-        super().__init__(budget)
+    def __init__(self, budget: MemoryBudget, fields: Collection[bytes] = ()) -> None:
+        """Starts before the first response. `fields` are the lower-case names of the fields to keep."""
+        super().__init__(budget, fields)
         self.expects_no_body = False
 
     def _new_parser(self) -> httptools.HttpResponseParser:
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -26,6 +26,7 @@
 from quota_ingress.net.upstream.exchange import Exchange, ResultCallback
 from quota_ingress.policy.events import Outcome
 
+FIELDS = frozenset({b"content-type", b"not-started", b"server-load"})  # of a response that are used
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
 
 log = logging.getLogger(__name__)
@@ -60,7 +61,7 @@
     reader: ResponseReader
 
     def __init__(self, owner: ConnectionOwner, sock: socket.socket) -> None:
-        super().__init__(ResponseReader(owner.budget))
+        super().__init__(ResponseReader(owner.budget, FIELDS))
         self.owner = owner
         self.sock = sock
         self.address = owner.address
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import re
 import socket
@@ -26,6 +27,8 @@
 WATCHED_S = 4.0
 SAMPLE_INTERVAL_S = 0.05
 BODIES_AHEAD = 12  # that a client sends without waiting for responses
+HEADS_AHEAD = 12
+SHORT_FIELDS = 1800  # in one head
 
 
 class SlowBackend:
@@ -69,6 +72,24 @@
         pass
 
 
+async def send_short_fields_ahead(port: int, number: int) -> None:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    names = (bytes(letters) for letters in itertools.product(b"abcdefghijklmnopqrstuvwxyz", repeat=3))
+    fields = b"".join(b"%b:\r\n" % name for name in itertools.islice(names, SHORT_FIELDS))
+    for n in range(HEADS_AHEAD):
+        writer.write(request(f"h{number}-{n}", Cookie=f"customer={number:016x}")[:-2] + fields + b"\r\n")
+    while await reader.read(BODY_BUFFER_BYTES):
+        pass
+
+
+async def send_long_fields_ahead(port: int, number: int) -> None:
+    reader, writer = await asyncio.open_connection(HOST, port)
+    for n in range(HEADS_AHEAD):
+        writer.write(request(f"h{number}-{n}", Cookie=f"customer={number:016x}", Content_Type="t" * 15_000))
+    while await reader.read(BODY_BUFFER_BYTES):
+        pass
+
+
 async def download(port: int, number: int) -> None:
     loop, client = asyncio.get_running_loop(), socket.socket()
     client.setblocking(False)
@@ -140,3 +161,12 @@
     """Guards against bodies that wait in pipelines: 120 connections took the process over 80 MB in 0.3 s."""
     memory = await peak_memory(tmp_path, 80, 384, [send_bodies_ahead] * 120)
     assert memory.before_mb < memory.peak_mb < 80
+
+
+@pytest.mark.parametrize("peer", [send_short_fields_ahead, send_long_fields_ahead])
+async def test_memory_stays_below_its_limit_under_large_heads(
+    tmp_path: Path, peer: Callable[[int, int], Awaitable[None]]
+) -> None:
+    """Guards against heads that are not counted: 340 connections with very many short fields took 570 MB."""
+    memory = await peak_memory(tmp_path, 80, 1024, [peer] * 340)
+    assert memory.before_mb < memory.peak_mb < 80
--- a/tests/test_message_reader.py
+++ b/tests/test_message_reader.py
@@ -8,6 +8,7 @@
 
 from quota_ingress.net.downstream.request_parser import encode_forwarded_head
 from quota_ingress.net.http import MemoryBudget, RequestReader
+from quota_ingress.net.http.message_reader import MESSAGE_OVERHEAD_BYTES
 from quota_ingress.policy.events import RequestArrived
 from tests.net_helpers import (
     OK,
@@ -153,3 +154,14 @@
     reader.feed(b"GET /read HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n")
     (message,) = reader.take_updated()
     assert b"\r\nContent-Length: 2\r\n" in encode_forwarded_head(message, b"a1")
+
+
+def test_a_reader_keeps_only_the_fields_that_are_used_and_counts_the_head_of_a_request() -> None:
+    budget = MemoryBudget()
+    reader = RequestReader(budget, {b"host"})
+    reader.feed(b"GET /read HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nMore: b\r\n\r\nhi")
+    (message,) = reader.take_updated()
+    assert message.headers == {b"host": b"a", b"content-length": b"2"}
+    assert budget.used == MESSAGE_OVERHEAD_BYTES + message.head_bytes + 2
+    message.body.release()
+    assert budget.used == 0
