Begin no retry while a client's close may wait behind unread input

Cause: the end of the stream stays on the client's machine behind what the paused reading leaves there, and the socket looks connected.

--- a/ingress_testbed/hollow.py
+++ b/ingress_testbed/hollow.py
@@ -112,6 +112,8 @@
         """Returns False: simulated clients never disconnect."""
         return False
 
+    may_have_disconnected = disconnected
+
     def reject(self, retry_after: int) -> None:
         """Counts a rejection by the ingress."""
         self.refused += 1
--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -6,7 +6,7 @@
 import contextlib
 
 from quota_ingress.net.downstream import response
-from quota_ingress.net.downstream.body_arrival import BodyArrival
+from quota_ingress.net.downstream.body_arrival import BLOCKED_BYTES, BodyArrival
 from quota_ingress.net.downstream.close_reason import UNANSWERED_ALLOWED, CloseReason
 from quota_ingress.net.downstream.drain_stage import DrainStage, drain_stage
 from quota_ingress.net.downstream.host import ConnectionHost
@@ -264,6 +264,10 @@
         """Returns whether the client has disconnected, according to the current state of the socket."""
         return self.transport.is_closing() or peer_has_closed(self.transport)
 
+    def may_have_disconnected(self) -> bool:
+        """Returns whether so much is unread that the client's machine may hold back the end of the stream."""
+        return self.disconnected() or unread_bytes(self.transport) >= BLOCKED_BYTES
+
     def respond(self, answer: AttemptResult) -> None:
         """Sends a backend's complete response."""
         headers = response.content_type_field(answer.content_type)
--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -8,7 +8,13 @@
 from quota_ingress.net.engine.attempts import Attempt
 from quota_ingress.net.engine.ports import AttemptResult, Loop, Upstream
 from quota_ingress.net.engine.requests import Request
-from quota_ingress.net.engine.send_rules import PREDICTABLE_DENIALS, Denial, delivery_deadline, denial
+from quota_ingress.net.engine.send_rules import (
+    DISCONNECT_GRACE,
+    PREDICTABLE_DENIALS,
+    Denial,
+    delivery_deadline,
+    denial,
+)
 from quota_ingress.net.engine.settings_index import SettingsIndex
 from quota_ingress.net.event_log import EventLog
 from quota_ingress.policy.events import AttemptEnded, Event, Outcome, StreamStarted
@@ -176,6 +182,8 @@
             now,
             now + _time_left(request, attempt, now),
         )
+        if reason is None and self._client_is_uncertain(request, now):
+            reason = Denial.CLIENT_UNCERTAIN
         if reason is None:
             return False
         if reason is Denial.REQUEST_ANSWERED and request.client.disconnected():
@@ -185,6 +193,15 @@
         self._event_log.event("denied", reason.value, id=request.parsed.id, n=attempt.number)
         return True
 
+    def _client_is_uncertain(self, request: Request, now: int) -> bool:
+        """Returns whether the client may have disconnected longer ago than an attempt may begin after that.
+
+        It was connected when its request was passed on. A request that is still being received is exempt.
+        """
+        if request.receiving_body or now - request.created_at <= DISCONNECT_GRACE:
+            return False
+        return request.client.may_have_disconnected()
+
     def _on_stream_started(self, request: Request, attempt: Attempt, result: AttemptResult) -> None:
         """Streams the response to the client.
 
--- a/quota_ingress/net/engine/ports.py
+++ b/quota_ingress/net/engine/ports.py
@@ -135,6 +135,9 @@
     def disconnected(self) -> bool:
         """Returns whether the client has closed its connection, even if the end of the stream is unread."""
 
+    def may_have_disconnected(self) -> bool:
+        """Returns whether the end of the stream may wait on the client's machine, behind unread input."""
+
     def respond(self, result: AttemptResult) -> None:
         """Sends an endpoint's complete response."""
 
--- a/quota_ingress/net/engine/requests.py
+++ b/quota_ingress/net/engine/requests.py
@@ -36,6 +36,7 @@
         answered: Whether the final answer has been sent, or the client has disconnected.
         attempts_in_flight: The number of attempts that have not ended.
         body_complete_at: When the whole body had been received; None before.
+        created_at: When the request was passed to the engine: its client was connected.
         timer: The timer of the deadline; None before the last byte has arrived at this machine.
     """
 
@@ -45,14 +46,18 @@
         "attempts_in_flight",
         "body_complete_at",
         "client",
+        "created_at",
         "deadline",
         "number",
         "parsed",
         "timer",
     )
 
-    def __init__(self, number: int, parsed: ParsedRequest, client: Client, deadline: int) -> None:
+    def __init__(
+        self, number: int, parsed: ParsedRequest, client: Client, deadline: int, created_at: int
+    ) -> None:
         """Creates a request that the policy knows as `number`."""
+        self.created_at = created_at
         self.number = number
         self.parsed = parsed
         self.client = client
@@ -118,7 +123,7 @@
     def add(self, parsed: ParsedRequest, client: Client, deadline: int) -> Request:
         """Creates a request under the next number; numbers are never reused."""
         self._last_number += 1
-        request = Request(self._last_number, parsed, client, deadline)
+        request = Request(self._last_number, parsed, client, deadline, self._now())
         self._requests[request.number] = request
         self._numbers[parsed.id] = request.number
         return request
--- a/quota_ingress/net/engine/send_rules.py
+++ b/quota_ingress/net/engine/send_rules.py
@@ -18,12 +18,15 @@
 
 WRITE_DELAY = 150_000  # us that the platform may suspend the process between reading the clock and the write
 
+DISCONNECT_GRACE = 100_000  # us after a disconnect in which an attempt may still begin
+
 
 class Denial(Enum):
     """Why an attempt may not begin."""
 
     REQUEST_ANSWERED = "request answered"
     CLIENT_DISCONNECTED = "client disconnected"
+    CLIENT_UNCERTAIN = "client may have disconnected"
     OUT_OF_TIME = "out of time"
     TOO_MANY_ATTEMPTS = "too many attempts"
     HEDGED = "hedging not allowed"
--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -53,6 +53,7 @@
         self.removed_endpoints: list[int] = []
         self.responses: list[Any] = []
         self.script = script
+        self.has_uncertain_client = False
         settings_index = SettingsIndex(SETTINGS, RAW)
         self.engine = Engine(script, SETTINGS, settings_index, self, self, lambda: self.time)
 
@@ -97,6 +98,9 @@
     def disconnected(self) -> bool:
         return False
 
+    def may_have_disconnected(self) -> bool:
+        return self.has_uncertain_client
+
     def respond(self, result: AttemptResult) -> None:
         self.responses.append(result.body)
 
--- a/tests/test_send_rules.py
+++ b/tests/test_send_rules.py
@@ -191,7 +191,7 @@
     body = Body(MemoryBudget())
     body.complete = True
     parsed = ParsedRequest(b"a", 0, 0, 7, 1.0, 1, 0, 1_000_000, NOW, False, b"", body)
-    client_request = Request(1, parsed, FakeNetwork(Script()), DEADLINE)
+    client_request = Request(1, parsed, FakeNetwork(Script()), DEADLINE, created_at=NOW)
     client_request.body_complete_at, client_request.answered = NOW, answered
     client_request.attempts = [*attempts, Attempt(len(attempts), 1, NOW)]
     return client_request, client_request.attempts[-1]
