Know ids for 60 s, and at both processes of an upgrade: one that came again ran twice

Cause: ids were kept for the longest deadline, 6 s, and no id was part of a handover. Change: ids are kept for 60 s, 10,000 beyond the deadline at most; the processes of an upgrade tell each other their ids in a kind of message that older versions ignore. Two tests of the old lifetime now hold the new one, to the microsecond.

--- a/quota_ingress/net/engine/engine.py
+++ b/quota_ingress/net/engine/engine.py
@@ -8,7 +8,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from quota_ingress.net.discovery.directory import EndpointDirectory
@@ -59,6 +59,7 @@
         shutting_down: Whether the process is about to end. New requests are rejected, as no response would
             arrive in time.
         counter: The client of the shared counter in use; None if there is none.
+        on_id_used: Called with the id of each request that is accepted.
         attempt_runner: Runs the attempts of all requests.
         endpoints: The endpoints that the policy knows.
     """
@@ -80,6 +81,7 @@
         self.now = now
         self.event_log = event_log or EventLog()
         self.counter: CounterService | None = None
+        self.on_id_used: Callable[[bytes], object] = lambda request_id: None
         self.in_flight = 0
         self.shutting_down = False
         self.attempt_runner = AttemptRunner(
@@ -115,7 +117,7 @@
         Returns False, without an answer to the client, if another request uses the id.
         """
         now = self.now()
-        if self._requests.is_duplicate(parsed.id, now):
+        if self._requests.is_duplicate(parsed.id):
             return False
         waited = now - parsed.received_at
         time_left = parsed.timeout - (waited if parsed.body.complete else 0)
@@ -125,6 +127,7 @@
             return True
         self.event_log.event("arrived", id=parsed.id, left_us=time_left, waited_us=waited)
         request = self._requests.add(parsed, client, now + time_left)
+        self.on_id_used(parsed.id)
         self.in_flight += 1
         if parsed.body.complete:
             request.body_complete_at = now
@@ -262,6 +265,14 @@
         names = {number: name for name, number in self.endpoints.numbers.items()}
         return snapshot_codec.encode(self._policy.hand_over(), names)
 
+    def used_ids(self) -> list[bytes]:
+        """Returns the request ids that are in use."""
+        return self._requests.used_ids()
+
+    def mark_ids_used(self, request_ids: Iterable[bytes]) -> None:
+        """Marks request ids as in use: the other process has accepted requests with them."""
+        self._requests.mark_used(request_ids)
+
     def restore(self, message: dict[str, Any]) -> None:
         """Restores the state handed over by the other process; a malformed message is ignored as a whole."""
         try:
--- a/quota_ingress/net/engine/requests.py
+++ b/quota_ingress/net/engine/requests.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from quota_ingress.net.engine.attempts import Attempt
 from quota_ingress.net.engine.ports import Client, Timer
 from quota_ingress.net.http import Body
 
+KEPT_ID_LIFETIME_US = 60_000_000
+MAX_KEPT_IDS = 10_000  # beyond the shortest lifetime, to bound their memory
+NO_REQUEST = 0  # in place of the number of a request that this process does not have
+
 
 @dataclass(slots=True)
 class ParsedRequest:
@@ -86,18 +90,19 @@
 class RequestTable:
     """The unfinished requests, by number and by the client's request id.
 
-    An id stays in use until `id_lifetime` us after its request has finished; until then, another request with
-    that id is a duplicate.
+    An id stays in use after its request has finished: for `shortest_id_lifetime` us, and beyond that for
+    KEPT_ID_LIFETIME_US while there are no more than MAX_KEPT_IDS. Until then, another request with that id
+    is a duplicate.
     """
 
-    def __init__(self, id_lifetime: int, now: Callable[[], int]) -> None:
+    def __init__(self, shortest_id_lifetime: int, now: Callable[[], int]) -> None:
         """Starts empty; numbers begin at 1. `now` returns the process's clock in us."""
-        self._id_lifetime = id_lifetime
+        self._shortest_id_lifetime = shortest_id_lifetime
         self._now = now
         self._requests: dict[int, Request] = {}
         self._numbers: dict[bytes, int] = {}
         self._finished: deque[tuple[int, bytes]] = deque()  # time of finishing and id, oldest first
-        self._last_number = 0
+        self._last_number = NO_REQUEST
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -111,15 +116,25 @@
 
     def with_id(self, request_id: bytes) -> Request | None:
         """Returns the unfinished request with that id, or None."""
-        return self._requests.get(self._numbers.get(request_id, 0))
+        return self._requests.get(self._numbers.get(request_id, NO_REQUEST))
 
-    def is_duplicate(self, request_id: bytes, now: int) -> bool:
+    def is_duplicate(self, request_id: bytes) -> bool:
         """Returns whether the id is in use, after releasing ids whose lifetime has expired."""
-        oldest = now - self._id_lifetime
-        while self._finished and self._finished[0][0] < oldest:
+        while self._finished and self._is_expired(self._now() - self._finished[0][0]):
             del self._numbers[self._finished.popleft()[1]]
         return request_id in self._numbers
 
+    def used_ids(self) -> list[bytes]:
+        """Returns all ids in use."""
+        return list(self._numbers)
+
+    def mark_used(self, request_ids: Iterable[bytes]) -> None:
+        """Marks ids as in use, as if their requests had just finished."""
+        for request_id in request_ids:
+            if request_id not in self._numbers:
+                self._numbers[request_id] = NO_REQUEST
+                self._finished.append((self._now(), request_id))
+
     def add(self, parsed: ParsedRequest, client: Client, deadline: int) -> Request:
         """Creates a request under the next number; numbers are never reused."""
         self._last_number += 1
@@ -134,3 +149,9 @@
         if request and request.answered and request.attempts_in_flight == 0:
             del self._requests[number]
             self._finished.append((self._now(), request.parsed.id))
+
+    def _is_expired(self, age: int) -> bool:
+        """Returns whether the oldest id of a finished request, of that age in us, is released."""
+        if age < self._shortest_id_lifetime:
+            return False
+        return age >= KEPT_ID_LIFETIME_US or len(self._finished) > MAX_KEPT_IDS
--- a/quota_ingress/net/lifecycle/ingress.py
+++ b/quota_ingress/net/lifecycle/ingress.py
@@ -172,6 +172,7 @@
             return None
         coordinator = UpgradeCoordinator(self._upgrade_process, self._config.shared_directory)
         self.control_plane.on_list_change = coordinator.send_list_change
+        self.engine.on_id_used = coordinator.send_request_id
         return coordinator
 
     def _shared_parts(self) -> SharedParts:
--- a/quota_ingress/net/lifecycle/upgrade.py
+++ b/quota_ingress/net/lifecycle/upgrade.py
@@ -4,7 +4,8 @@
 its state (`Question.HELLO`), prepares itself, and takes over (`Question.TAKE_OVER`).
 
 While both processes run, each forwards operators' calls to the other, because a call reaches only one of
-them, and list changes, because discovery may leave the other's own watch unanswered.
+them, and list changes, because discovery may leave the other's own watch unanswered. From the handover on,
+each also forwards the ids of the requests that it accepts, so that no id is accepted by both.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 import logging
 import os
 import socket
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
 from quota_ingress.net.acceptor import Acceptor
@@ -27,6 +28,7 @@
     MessageError,
     OperatorCall,
     Question,
+    RequestIds,
     ServingState,
     decode_state,
     encode_state,
@@ -62,6 +64,12 @@
     def apply_list_change(self, change: EndpointListChange) -> None:
         """Applies a list change that discovery has sent to the other process."""
 
+    def used_request_ids(self) -> Sequence[bytes]:
+        """Returns the ids of this process's requests that are in use."""
+
+    def mark_request_ids_used(self, request_ids: Sequence[bytes]) -> None:
+        """Marks the ids of the other process's requests as in use."""
+
     def share_descriptors(self, with_other: bool) -> None:
         """Uses half of the descriptors if `with_other`, as the limit is for both processes; else all."""
 
@@ -88,6 +96,7 @@
         self._has_handed_over = False
         self._channel: UpgradeChannel | None = None  # to the other process; None if there is none
         self._other_has_list = False  # one process has sent its list, so changes to it are forwarded
+        self._other_needs_ids = False  # one process has handed over to the other
         self._acceptor: Acceptor | None = None
         self._listen_retry: asyncio.TimerHandle | None = None
 
@@ -115,7 +124,9 @@
 
         Returns None if no process was found, or it did not answer.
         """
-        return await self._ask(Question.TAKE_OVER)
+        snapshot = await self._ask(Question.TAKE_OVER)
+        self._other_needs_ids = snapshot is not None
+        return snapshot
 
     def listen_for_successor(self) -> None:
         """Listens for a new process; if that fails, tries again until `stop`."""
@@ -139,6 +150,11 @@
         if self._channel and self._other_has_list:
             self._channel.send(change)
 
+    def send_request_id(self, request_id: bytes) -> None:
+        """Forwards the id of a request that this process has accepted, from the handover on."""
+        if self._channel and self._other_needs_ids:
+            self._channel.send(RequestIds((request_id,)))
+
     def stop(self) -> None:
         """Closes the channel and stops listening.
 
@@ -168,6 +184,8 @@
                 return self._answer_hello(channel)
             case Question.TAKE_OVER if not self._has_handed_over:
                 self._has_handed_over = True
+                self._other_needs_ids = True
+                channel.send(RequestIds(tuple(self._participant.used_request_ids())))
                 return self._participant.hand_over()
             case Question.TAKE_OVER:
                 raise MessageError("this process has handed over already")
@@ -184,12 +202,17 @@
         """Passes a list change from the other process's discovery to the participant."""
         self._participant.apply_list_change(change)
 
+    def on_request_ids(self, request_ids: Sequence[bytes]) -> None:
+        """Passes the ids of the other process's requests to the participant."""
+        self._participant.mark_request_ids_used(request_ids)
+
     def on_closed(self, channel: UpgradeChannel) -> None:
         """Handles the end of the other process: if it had taken over, this one serves again."""
         if channel is not self._channel:
             return
         self._channel = None
         self._other_has_list = False
+        self._other_needs_ids = False
         self._participant.share_descriptors(with_other=False)
         if self._has_handed_over:
             self._has_handed_over = False
--- a/quota_ingress/net/lifecycle/upgrade_channel.py
+++ b/quota_ingress/net/lifecycle/upgrade_channel.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol, cast
 
 from quota_ingress.net.discovery.packed_entry import PackedEntry
@@ -25,6 +25,7 @@
     MessageError,
     OperatorCall,
     Question,
+    RequestIds,
     decode,
     encode,
 )
@@ -54,6 +55,9 @@
     def on_list_change(self, change: EndpointListChange) -> None:
         """Receives a list change that discovery has sent to the other process."""
 
+    def on_request_ids(self, request_ids: Sequence[bytes]) -> None:
+        """Receives ids of requests that the other process has accepted."""
+
     def on_closed(self, channel: UpgradeChannel) -> None:
         """Is called once the channel has closed: most likely, the other process has ended."""
 
@@ -146,6 +150,8 @@
                 self._handler.on_operator_call(message)
             case EndpointListChange():
                 self._handler.on_list_change(message)
+            case RequestIds(ids):
+                self._handler.on_request_ids(ids)
 
     def _receive_answer(self, content: Document) -> None:
         if self._answer is None or self._answer.done():
--- a/quota_ingress/net/lifecycle/upgrade_messages.py
+++ b/quota_ingress/net/lifecycle/upgrade_messages.py
@@ -82,6 +82,12 @@
     endpoints: EndpointList
 
 
+class RequestIds(NamedTuple):
+    """Ids of requests that the sender has accepted. Versions that don't know this kind ignore it."""
+
+    ids: tuple[bytes, ...]
+
+
 class ServingState(NamedTuple):
     """The state of the serving process, without its requests."""
 
@@ -91,7 +97,7 @@
     endpoints: EndpointList | None = None  # from older versions, which send no ListParts
 
 
-Message = Ask | Answer | ListPart | EndpointCall | DrainCall | EndpointListChange
+Message = Ask | Answer | ListPart | EndpointCall | DrainCall | EndpointListChange | RequestIds
 
 
 def encode(message: Message) -> bytes:
@@ -109,6 +115,8 @@
             content = {"note": {"drain": is_draining}}
         case EndpointListChange():
             content = {"listed": _encode_change(message)}
+        case RequestIds(ids):
+            content = {"ids": [request_id.decode("ascii") for request_id in ids]}
     return json.dumps({"version": VERSION} | content).encode() + b"\n"
 
 
@@ -171,6 +179,8 @@
             return _decode_operator_call(note)
         case {"listed": change}:
             return _decode_change(change)
+        case {"ids": list(ids)}:
+            return RequestIds(tuple(request_id.encode("ascii") for request_id in ids))
         case {"answer": dict(content)}:
             return Answer(content)
         case {"answer": _}:
--- a/quota_ingress/net/lifecycle/upgrade_process.py
+++ b/quota_ingress/net/lifecycle/upgrade_process.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from quota_ingress.net.clock import Clock
@@ -115,6 +115,14 @@
         """Applies a list change that the other process has received from discovery."""
         self._parts.control_plane.apply_list_change(change)
 
+    def used_request_ids(self) -> Sequence[bytes]:
+        """Returns the request ids in use."""
+        return self._parts.engine.used_ids()
+
+    def mark_request_ids_used(self, request_ids: Sequence[bytes]) -> None:
+        """Marks request ids of the other process as in use: a request with one of them is a duplicate."""
+        self._parts.engine.mark_ids_used(request_ids)
+
     def share_descriptors(self, with_other: bool) -> None:
         """Halves this process's descriptors while another process runs; restores them afterwards."""
         self._parts.descriptors.set_shared(with_other)
--- a/tests/support/upgrade.py
+++ b/tests/support/upgrade.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from quota_ingress.net.discovery.endpoint_list import EndpointList
@@ -38,6 +38,7 @@
         self.list_parts_restored: list[Mapping[str, PackedEntry]] = []
         self.changes: list[EndpointListChange] = []
         self.descriptor_sharing: list[bool] = []
+        self.request_ids: list[bytes] = []
         self.handovers = 0
         self.successors_lost = 0
         self.changed = asyncio.Event()
@@ -66,6 +67,13 @@
         self.changes.append(change)
         self.changed.set()
 
+    def used_request_ids(self) -> list[bytes]:
+        return [b"old"]
+
+    def mark_request_ids_used(self, request_ids: Sequence[bytes]) -> None:
+        self.request_ids += request_ids
+        self.changed.set()
+
     def share_descriptors(self, with_other: bool) -> None:
         self.descriptor_sharing.append(with_other)
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
+
 from quota_ingress.net.discovery.endpoint_codec import decode_endpoint_list
 from quota_ingress.net.discovery.start_times import age_tolerance
+from quota_ingress.net.engine import requests
 from quota_ingress.net.engine.attempt_runner import RESPONSE_MARGIN
 from quota_ingress.net.engine.ports import AttemptResult
 from quota_ingress.policy.actions import Action, AddToCounter, CancelAttempt, Fail, Reject, SendAttempt
@@ -34,6 +37,8 @@
     assert network.submit_request(b"a") and network.responses == [0]
     assert not network.submit_request(b"a")  # its id is still in use
     network.pass_time(2 * max(c.deadline for c in SETTINGS.classes))
+    assert not network.submit_request(b"a")  # its client may come again late
+    network.pass_time(requests.KEPT_ID_LIFETIME_US)
     assert network.submit_request(b"a")  # the id has expired
 
 
@@ -48,7 +53,9 @@
     assert event.load == (2.0,) and event.latency == 7000
     assert all(t.cancelled for t in network.timers) and network.engine.in_flight == 0
     assert not network.submit_request()  # the id stays in use for a while after the request has ended
-    network.pass_time(max(c.deadline for c in SETTINGS.classes) + 1)
+    network.pass_time(requests.KEPT_ID_LIFETIME_US - 1)
+    assert not network.submit_request()
+    network.pass_time(1)
     assert network.submit_request()  # the id has expired
 
 
@@ -122,3 +129,22 @@
     assert [b.id for b in first.endpoints] == [1, 2] and [b.id for b in second.endpoints] == [2]
     assumed_start = START - age_tolerance(SETTINGS.safety)
     assert first.endpoints[0].started_at == assumed_start and second.kind is ListKind.FULL
+
+
+def test_ids_stay_in_use_after_their_requests_for_a_lifetime_and_longer_while_they_are_few(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an id that runs again when it comes back after the longest deadline."""
+    monkeypatch.setattr(requests, "MAX_KEPT_IDS", 2)
+    now = 0
+    table = requests.RequestTable(1_000_000, lambda: now)
+    table.mark_used([b"a", b"b", b"a"])
+    now = requests.KEPT_ID_LIFETIME_US - 1
+    assert table.is_duplicate(b"a") and table.used_ids() == [b"a", b"b"]
+    table.mark_used([b"c"])
+    assert not table.is_duplicate(b"a") and table.is_duplicate(b"b") and table.is_duplicate(b"c")
+    now += 1
+    assert not table.is_duplicate(b"b") and table.is_duplicate(b"c")
+    table.mark_used([b"d", b"e"])
+    assert table.used_ids() == [b"c", b"d", b"e"]
+    assert table.is_duplicate(b"c")  # too many, but none is older than the shortest lifetime
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -54,6 +54,27 @@
     starting.stop()
 
 
+async def test_both_processes_forward_the_ids_of_their_requests_from_the_handover_on(tmp_path: Path) -> None:
+    """Guards against an id that both processes accept, as its client came again after it had left."""
+    old, new = RecordingParticipant(), RecordingParticipant()
+    serving, starting = coordinator(tmp_path, old), coordinator(tmp_path, new)
+    serving.listen_for_successor()
+    assert await starting.find_predecessor()
+    for each in (serving, starting):
+        each.send_request_id(b"before")  # the handover covers it
+    await starting.take_over()
+    assert new.request_ids == [b"old"]
+    for request_id in (b"a", b"b"):
+        serving.send_request_id(request_id)
+        starting.send_request_id(request_id * 2)
+    await new.wait_until(lambda: new.request_ids == [b"old", b"a", b"b"])
+    await old.wait_until(lambda: old.request_ids == [b"aa", b"bb"])
+    starting.stop()
+    await old.wait_until(lambda: old.successors_lost == 1)
+    serving.send_request_id(b"c")  # to nobody
+    serving.stop()
+
+
 async def test_a_process_is_notified_when_its_successor_dies(tmp_path: Path) -> None:
     old = RecordingParticipant()
     serving = coordinator(tmp_path, old)
--- a/tests/test_upgrade_messages.py
+++ b/tests/test_upgrade_messages.py
@@ -24,6 +24,7 @@
     Message,
     MessageError,
     Question,
+    RequestIds,
     ServingState,
     decode,
     decode_state,
@@ -125,6 +126,11 @@
     assert json.dumps(snapshot_codec.encode(snapshot, names)) == json.dumps(answer.content)
 
 
+def test_request_ids_are_encoded_and_decoded() -> None:
+    message = RequestIds((b"9b1f03aa5c7e2d41", b"a.b~c"))
+    assert decode(encode(message)) == message
+
+
 def test_a_message_of_unknown_kind_is_ignored() -> None:
     assert decode(b'{"version": 1, "weather": "fair"}\n') is None
 
@@ -143,6 +149,7 @@
         {"version": 1, "part": {"a": "u1"}},
         {"version": 1, "note": {"backend": "a"}},
         {"version": 1, "note": 7},
+        {"version": 1, "ids": [7]},
     ],
 )
 def test_an_invalid_message_raises_an_error(document: Any) -> None:
--- a/tests/test_upgrade_process.py
+++ b/tests/test_upgrade_process.py
@@ -241,6 +241,27 @@
     server.stop()
 
 
+async def test_an_id_that_the_other_process_has_accepted_is_a_duplicate(tmp_path: Path) -> None:
+    """Guards against running a request twice: its client had left the old process and came to the new one."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config_document(counter=None)))
+    with SharedListener(tmp_path) as shared:
+        old = await shared.serve(path)
+        _, writer = await asyncio.open_connection(HOST, shared.port)
+        writer.write(request("r1"))
+        kept_reader, kept_writer = await asyncio.open_connection(HOST, shared.port)
+        kept_writer.write(UP)
+        assert (await read_response(kept_reader)).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+        new = await shared.serve(path)
+        assert (await fetch(shared.port, request("r1"))).startswith(b"HTTP/1.1 409 ")
+        kept_writer.write(request("r2"))  # still at the old process
+        assert not (await read_response(kept_reader)).startswith(b"HTTP/1.1 409 ")
+        kept_writer.close()
+        assert (await fetch(shared.port, request("r2"))).startswith(b"HTTP/1.1 409 ")
+        await kill(old, new)
+
+
 async def test_the_new_process_restores_the_leases_and_uses_half_of_the_descriptors(tmp_path: Path) -> None:
     """Both ingresses run in this process, so that their state can be inspected."""
     shared = SharedListener(tmp_path)
