Let a listed backend pause for 20 s in a long response: 5 s cut off slow ones

Cause: one limit of 5 s for stalled request bodies and responses, of live and of vanished backends. Change: 20 s for a response while its backend is listed, 5 s once it is removed and for request bodies. The new tests fail 2 of 2 before.

--- a/quota_ingress/net/upstream/client.py
+++ b/quota_ingress/net/upstream/client.py
@@ -18,7 +18,10 @@
 
 IDLE_TIMEOUT_FRACTION = 0.75  # of the backend's idle timeout, so that this side closes first
 SWEEP_INTERVAL_S = 1.0
-STALL_TIMEOUT_S = 5.0  # without a byte of a request body accepted or of a streamed response received
+STALL_TIMEOUT_S = 5.0  # without a byte of a request body accepted, or of a response of a removed backend
+RESPONSE_STALL_TIMEOUT_S = (
+    20.0  # without a byte of a streamed response of a listed backend, which may be slow
+)
 HEALTH_CHECK_TIMEOUT_S = 0.25
 HEALTH_CHECK = b"GET /metrics/load HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 MAX_REUSE_FAILURE_RATE = 0.01  # above this, non-idempotent requests get new connections
@@ -151,9 +154,12 @@
         return [*self._pools.values(), *self._dropped_pools]
 
     def _sweep(self) -> None:
-        for pool in self._all_pools():
+        now = self._loop.time()
+        for pool in self._pools.values():
             pool.close_expired()
-            pool.fail_stalled(since=self._loop.time() - STALL_TIMEOUT_S)
+            pool.fail_stalled(now - STALL_TIMEOUT_S, now - RESPONSE_STALL_TIMEOUT_S)
+        for pool in self._dropped_pools:
+            pool.fail_stalled(now - STALL_TIMEOUT_S, now - STALL_TIMEOUT_S)
         self._dropped_pools = [pool for pool in self._dropped_pools if pool.busy]
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -201,16 +201,22 @@
         elif exchange:
             exchange.fail()
 
-    def is_stalled(self, since: float) -> bool:
-        """Returns whether the backend has made no progress on a body after `since` (s of the loop's clock).
+    def is_stalled(self, request_since: float, response_since: float) -> bool:
+        """Returns whether the backend has made no progress on a body after a time (s of the loop's clock).
 
         Time during which this side does not read the response does not count.
+
+        Args:
+            request_since: The time for a request body that the backend does not accept.
+            response_since: The time for a response that is being streamed.
         """
         exchange = self.exchange
-        if exchange is None or exchange.last_progress_at >= since or self._read_paused:
+        if exchange is None or self._read_paused:
             return False
-        request_body_blocked = exchange.body is not None and not exchange.written and self._write_paused
-        return request_body_blocked or self.stream is not None
+        if self.stream is not None:
+            return exchange.last_progress_at < response_since
+        is_blocked = exchange.body is not None and not exchange.written and self._write_paused
+        return is_blocked and exchange.last_progress_at < request_since
 
     def data_received(self, data: bytes) -> None:
         """Parses the response. Without a request to respond to, closes the connection.
--- a/quota_ingress/net/upstream/pool.py
+++ b/quota_ingress/net/upstream/pool.py
@@ -154,9 +154,12 @@
         while self.idle and self.idle[0].idle_since <= cutoff:
             self.idle[0].close(UpstreamCloseReason.IDLE)
 
-    def fail_stalled(self, since: float) -> None:
-        """Fails the attempts without progress on a body after `since` (s of the loop's clock)."""
-        for connection in [c for c in self.busy if c.is_stalled(since)]:
+    def fail_stalled(self, request_since: float, response_since: float) -> None:
+        """Fails the attempts without progress on a request or response body after these times.
+
+        The times are s of the loop's clock.
+        """
+        for connection in [c for c in self.busy if c.is_stalled(request_since, response_since)]:
             log.warning("backend %s: transfer of a request or response body stalled", self.name)
             connection.fail_exchange(UpstreamCloseReason.STALLED)
 
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -333,3 +333,36 @@
         assert (await read_response(reader)).endswith(b"warm")
     assert budget.used == others
     writer.close()
+
+
+async def test_a_listed_backend_may_pause_in_a_response_for_longer_than_a_removed_one(
+    pair: IngressAndBackend, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against cutting off a response whose backend still writes it, with pauses of over 5 s."""
+    monkeypatch.setattr(upstream_client, "STALL_TIMEOUT_S", -1.0)
+    reader, writer = await pair.connect(request())
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
+    await reader.readuntil(b"\r\n\r\n")
+    pair.ingress.backends._sweep()
+    peer.transport.write(MEGABYTE[200_000:])
+    async with asyncio.timeout(10):
+        assert await reader.readexactly(len(MEGABYTE)) == MEGABYTE
+    writer.close()
+
+
+async def test_a_response_of_a_listed_backend_that_stalls_is_ended(
+    pair: IngressAndBackend, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream_client, "RESPONSE_STALL_TIMEOUT_S", -1.0)
+    reader, writer = await pair.connect(request())
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
+    await reader.readuntil(b"\r\n\r\n")
+    pair.ingress.backends._sweep()
+    async with asyncio.timeout(10):
+        with contextlib.suppress(ConnectionError):
+            assert len(await reader.read()) < len(MEGABYTE)
+    (ended,) = await pair.ingress.script.wait_for_events(AttemptEnded)
+    assert ended.outcome is Outcome.RESET and not pair.ingress.listener.connections
+    writer.close()
