Count a long request's time from when its client may have written it, not from arrival

Cause: the deadline began when the last byte arrived in the ingress's receive buffer, and moved with each part that the backend accepted; the client's machine had taken 4 MB in 1 ms. Evidence: late by just the time that the backend took. The new tests fail 4 of 4 before.

--- a/quota_ingress/net/downstream/body_arrival.py
+++ b/quota_ingress/net/downstream/body_arrival.py
@@ -1,45 +1,60 @@
-"""Determines when the last byte of a streamed request body may have arrived, while it may be unread."""
+"""Determines when the client may have written the last byte of a streamed request body."""
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from typing import NamedTuple
 
 from quota_ingress.net.http import SOCKET_BUFFER_BYTES, Body
 from quota_ingress.net.socket_state import unread_bytes
 
 BLOCKED_BYTES = SOCKET_BUFFER_BYTES // 2  # unread; with more, the client's machine may hold bytes back
+CLIENT_BUFFER_BYTES = 4 * 1024 * 1024  # that a client's machine may hold back: Linux's largest send buffer
+SETTLE_US = 100_000  # after so long without BLOCKED_BYTES unread, nothing is held back
+
+
+class Progress(NamedTuple):
+    """The number of bytes that had arrived at a time (us)."""
+
+    at: int
+    bytes_arrived: int
 
 
 class BodyArrival:
     """The arrival of one streamed body.
 
     Reading pauses while the backend accepts no more, so the last byte may wait for long, in the socket or in
-    that of the client. It may be the last byte that has come so far, until another one comes.
+    that of the client, which has written it: the time of the request counts from then. It may be the last
+    byte that has come so far, until another one comes.
 
     Attributes:
-        arrived_at: The earliest time (us) at which the last byte that has come so far may have arrived.
+        written_at: The earliest time (us) at which the client may have written the last byte that has come so
+            far.
     """
 
     __slots__ = (
-        "_body",
+        "_blocked_at",
         "_bytes_arrived",
-        "_bytes_discarded",
         "_bytes_missing",
         "_bytes_read",
         "_checked_at",
-        "_forwarded_at",
-        "arrived_at",
+        "_progress",
+        "_unblocked_at",
+        "written_at",
     )
 
     def __init__(self, body: Body, now: int) -> None:
         """Begins with the bytes of `body` that have been read until `now` (us)."""
-        self.arrived_at = now
-        self._body = body
+        self.written_at = now
         self._checked_at = now
-        self._forwarded_at = now  # us: when the backend was last seen to have accepted more
-        self._bytes_discarded = body.discarded
+        self._unblocked_at = now  # us: when the client's machine last held back nothing
+        self._blocked_at: int | None = None  # us: when BLOCKED_BYTES were last seen unread
         self._bytes_read = 0  # and parsed since the start, with the framing of chunks
         self._bytes_arrived = 0  # read or unread
+        self._progress = deque(
+            [Progress(now, 0)]
+        )  # in steps of BLOCKED_BYTES, for the last CLIENT_BUFFER_BYTES
         self._bytes_missing = None  # at the start; None: not known
         if body.declared_length is not None:
             self._bytes_missing = body.declared_length - body.received
@@ -49,10 +64,10 @@
         self._bytes_read += size
 
     def check(self, transport: asyncio.Transport, now: int, paused: bool, unparsed: int = 0) -> int | None:
-        """Returns the time (us) at which the last byte, still unread, may have arrived; None if it has not.
+        """Returns the earliest time (us) at which the client may have written the last byte, still unread.
 
-        If the client's machine may hold it back, this is no earlier than the backend accepted more: a slow
-        backend may still serve a request whose last byte has not been sent.
+        None if it cannot have done so. While so much is unread that the client's machine may hold bytes back,
+        up to CLIENT_BUFFER_BYTES of them may have been written long before they arrive.
 
         Args:
             transport: The connection.
@@ -61,24 +76,44 @@
             unparsed: Number of bytes that have been read from the connection and not been parsed.
         """
         unread = unread_bytes(transport) + unparsed
-        self._update(unread, self._checked_at if paused else now, now)
-        if not unread:
-            return None
-        if self._bytes_missing == self._bytes_arrived:
-            return self.arrived_at
         if unread >= BLOCKED_BYTES:
-            return max(self.arrived_at, self._forwarded_at)
-        return self.arrived_at if self._bytes_missing is None else None
+            self._blocked_at = now
+        elif not self._may_be_blocked(now):
+            self._unblocked_at = now
+        self._update(unread, self._checked_at if paused else now)
+        self._checked_at = now
+        if unread and self._bytes_missing in (None, self._bytes_arrived):
+            return self.written_at
+        if self._may_be_blocked(now) and self._bytes_missing is not None:
+            return self._written_before(self._bytes_missing)
+        return None
+
+    def _may_be_blocked(self, now: int) -> bool:
+        return self._blocked_at is not None and now - self._blocked_at < SETTLE_US
 
-    def _update(self, unread: int, since: int, now: int) -> None:
-        """Notes what has arrived since `since`, and whether the backend has accepted more."""
+    def _update(self, unread: int, since: int) -> None:
+        """Records what has arrived since `since`."""
         bytes_arrived = self._bytes_read + unread
         if self._bytes_missing is not None:
             bytes_arrived = min(bytes_arrived, self._bytes_missing)
-        if bytes_arrived > self._bytes_arrived:
-            self._bytes_arrived = bytes_arrived
-            self.arrived_at = since
-        if self._body.discarded > self._bytes_discarded:
-            self._bytes_discarded = self._body.discarded
-            self._forwarded_at = now
-        self._checked_at = now
+        if bytes_arrived <= self._bytes_arrived:
+            return
+        self._bytes_arrived = bytes_arrived
+        if bytes_arrived >= self._progress[-1].bytes_arrived + BLOCKED_BYTES:
+            self._progress.append(Progress(since, bytes_arrived))
+        while (
+            len(self._progress) > 1 and self._progress[1].bytes_arrived <= bytes_arrived - CLIENT_BUFFER_BYTES
+        ):
+            self._progress.popleft()
+        earliest = self._written_before(bytes_arrived)
+        self.written_at = since if earliest is None else min(since, earliest)
+
+    def _written_before(self, length: int) -> int | None:
+        """Returns the earliest time at which a body of `length` bytes may have been written; None: not yet.
+
+        The client's machine has held bytes back since `_unblocked_at`, and so has no more of them than fit.
+        """
+        before = [p.at for p in self._progress if p.bytes_arrived <= max(0, length - CLIENT_BUFFER_BYTES)]
+        if self._bytes_arrived < length - CLIENT_BUFFER_BYTES:
+            return None
+        return max(self._unblocked_at, before[-1])
--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -327,15 +327,15 @@
             self._read_flow.resume(self.transport)
 
     def _check_body_arrival(self, paused: bool = True) -> None:
-        """Starts or stops the deadline of the current request, whose last byte may have arrived unread."""
+        """Starts or stops the deadline of the current request, whose last byte may have been written."""
         request_id, arrival = self._pipeline.engine_request_id, self._body_arrival
         if arrival is None or request_id is None or self._pipeline.current_is_complete:
             return
-        arrived_at = arrival.check(self.transport, self._host.now(), paused, len(self._unparsed))
-        if arrived_at is None:
+        written_at = arrival.check(self.transport, self._host.now(), paused, len(self._unparsed))
+        if written_at is None:
             self._engine.on_body_missing(request_id)
         else:
-            self._engine.on_body_arrived(request_id, arrived_at)
+            self._engine.on_body_arrived(request_id, written_at)
 
     def _abort_after_disconnect(self) -> None:
         self.abort(CloseReason.CLIENT_LEFT)
@@ -415,8 +415,8 @@
         if self._pipeline.engine_request_id is not None:
             body.on_update()
             if body.complete and self._body_arrival:
-                arrived_at = self._body_arrival.arrived_at
-                self._engine.on_body_complete(self._pipeline.engine_request_id, arrived_at)
+                written_at = self._body_arrival.written_at
+                self._engine.on_body_complete(self._pipeline.engine_request_id, written_at)
         elif parsed := self._pipeline.parsed:
             self._advance_parsed(message, parsed, length_became_known)
 
--- a/tests/test_body_arrival.py
+++ b/tests/test_body_arrival.py
@@ -1,4 +1,4 @@
-"""When the last byte of a streamed request body may have arrived, while it may be unread."""
+"""When the client may have written the last byte of a streamed request body, while it may be unread."""
 
 from __future__ import annotations
 
@@ -9,8 +9,14 @@
 
 import pytest
 
-from quota_ingress.net.downstream.body_arrival import BLOCKED_BYTES, BodyArrival
+from quota_ingress.net.downstream.body_arrival import (
+    BLOCKED_BYTES,
+    CLIENT_BUFFER_BYTES,
+    SETTLE_US,
+    BodyArrival,
+)
 from quota_ingress.net.http import Body, MemoryBudget
+from quota_ingress.net.socket_state import unread_bytes
 
 
 class UnreadSocket:
@@ -60,7 +66,7 @@
     unread.peer.send(b"rest")
     assert check(arrival, unread, 1000, paused=False) == 1000
     arrival.add_read(len(unread.sock.recv(4)))
-    assert check(arrival, unread, 2000, paused=False) is None and arrival.arrived_at == 1000
+    assert check(arrival, unread, 2000, paused=False) is None and arrival.written_at == 1000
 
 
 def test_without_a_length_any_unread_byte_may_be_the_last(unread: UnreadSocket) -> None:
@@ -74,14 +80,69 @@
     assert check(arrival, unread, 4000) is None
 
 
-def test_behind_a_full_receive_buffer_the_rest_may_wait_at_the_client(unread: UnreadSocket) -> None:
-    body = body_of(10 * BLOCKED_BYTES)
-    arrival = BodyArrival(body, 500)
-    unread.peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * BLOCKED_BYTES)
-    unread.peer.send(bytes(BLOCKED_BYTES - 1))
+def fill(unread: UnreadSocket, size: int = BLOCKED_BYTES) -> None:
+    for sock in (unread.peer, unread.sock):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8 * BLOCKED_BYTES)
+    unread.peer.send(bytes(size))
+
+
+def read(arrival: BodyArrival, unread: UnreadSocket, size: int) -> None:
+    arrival.add_read(len(unread.sock.recv(size)))
+
+
+def test_behind_a_full_receive_buffer_the_rest_may_have_been_written(unread: UnreadSocket) -> None:
+    arrival = BodyArrival(body_of(10 * BLOCKED_BYTES), 500)
+    fill(unread, BLOCKED_BYTES - 1)
     assert check(arrival, unread, 1000) is None
     unread.peer.send(b"q")
     assert check(arrival, unread, 2000) == 1000
-    assert check(arrival, unread, 3000) == 1000
-    body.discard(4)  # the backend has accepted more, so it may still serve the request
-    assert check(arrival, unread, 4000) == 4000
+
+
+def test_a_backend_that_accepts_more_changes_nothing_about_when_the_client_has_written_it(
+    unread: UnreadSocket,
+) -> None:
+    """Guards against an answer 7 s after its time: each part that the backend took moved the deadline."""
+    arrival = BodyArrival(body_of(10 * BLOCKED_BYTES), 500)
+    for now in range(1000, 4 * SETTLE_US, SETTLE_US // 2):
+        fill(unread)
+        assert check(arrival, unread, now) == 500
+        read(arrival, unread, BLOCKED_BYTES // 2)
+    while unread_bytes(cast(asyncio.Transport, unread)):
+        read(arrival, unread, BLOCKED_BYTES)
+    assert check(arrival, unread, now) == arrival.written_at == 500
+
+
+def test_a_client_that_writes_more_slowly_than_the_backend_reads_holds_nothing_back(
+    unread: UnreadSocket,
+) -> None:
+    arrival = BodyArrival(body_of(10 * BLOCKED_BYTES), 500)
+    fill(unread)
+    assert check(arrival, unread, 1000) == 500
+    read(arrival, unread, BLOCKED_BYTES)
+    assert check(arrival, unread, 1000 + SETTLE_US - 1) == 500  # more may still be on its way
+    assert check(arrival, unread, 1000 + SETTLE_US) is None
+    unread.peer.send(b"more")
+    assert check(arrival, unread, 2 * SETTLE_US, paused=False) is None
+    assert arrival.written_at == 2 * SETTLE_US
+    fill(unread)
+    assert check(arrival, unread, 3 * SETTLE_US) == 2 * SETTLE_US
+
+
+@pytest.mark.parametrize("length", [CLIENT_BUFFER_BYTES + 2 * BLOCKED_BYTES, None])
+def test_a_client_holds_back_no_more_than_its_buffer(unread: UnreadSocket, length: int | None) -> None:
+    """Guards against a deadline for a body whose last byte can't have been written yet."""
+    body = body_of(length)
+    if length is not None:
+        body.declared_length = length + body.received
+    arrival = BodyArrival(body, 500)
+    fill(unread)
+    assert check(arrival, unread, 1000) == (None if length else 500)
+    read(arrival, unread, BLOCKED_BYTES)
+    fill(unread)
+    assert check(arrival, unread, 2000) == (1000 if length else 500)
+    read(arrival, unread, BLOCKED_BYTES)
+    for _ in range(CLIENT_BUFFER_BYTES // BLOCKED_BYTES):  # as much as its buffer holds
+        fill(unread)
+        assert check(arrival, unread, 3000) == (1000 if length else arrival.written_at)
+        read(arrival, unread, BLOCKED_BYTES)
+    assert arrival.written_at == 1000
