Move the reading side of client connections into a module of its own

Cause: connection.py had grown to 562 lines, with reading, parsing in turns, pausing and answering in one class. Change: ClientInput reads and parses into the pipeline; ClientConnection takes requests in order and answers. Along with it input that is not parsed counts as open at a shutdown, with a test of 60 requests sent ahead.

--- /dev/null
+++ b/quota_ingress/net/downstream/client_input.py
@@ -0,0 +1,170 @@
+"""The reading side of a client connection: parses its input in turns, with back-pressure."""
+
+from __future__ import annotations
+
+from quota_ingress.net.downstream.body_arrival import BodyArrival
+from quota_ingress.net.downstream.drain_stage import DrainStage, drain_stage
+from quota_ingress.net.downstream.host import ConnectionHost
+from quota_ingress.net.downstream.input_queue import UnparsedInput
+from quota_ingress.net.downstream.pipeline import RequestPipeline
+from quota_ingress.net.downstream.read_flow import ReadFlow
+from quota_ingress.net.downstream.request_parser import FIELDS
+from quota_ingress.net.downstream.stages import StagedConnection
+from quota_ingress.net.downstream.timeouts import is_body_too_slow
+from quota_ingress.net.http import HttpConnection, RequestReader
+from quota_ingress.net.socket_state import unread_bytes
+
+PART_BYTES = 512  # parsed at once, outside of bodies of known length; a pipeline is bounded between parts
+TURN_BYTES = 4096  # parsed in one turn
+TURN_MESSAGES = 8  # begun in one turn
+
+
+class ClientInput(HttpConnection, StagedConnection):
+    """Reads requests into a pipeline. Subclasses implement `message_received`, `protocol_error` and the rest.
+
+    What has been read is parsed in parts, in turns with other connections. Reading is paused while input is
+    left, the pipeline is full, or the connection ends after the requests that it has.
+    """
+
+    def __init__(self, host: ConnectionHost, queued_since: int | None) -> None:
+        """Starts before the first byte; `queued_since` as in `ReadFlow`."""
+        super().__init__(RequestReader(host.memory_budget, FIELDS))
+        self._host = host
+        self._engine = host.engine
+        self._stages = host.stages
+        self._pipeline = RequestPipeline()
+        self._read_flow = ReadFlow(queued_since)
+        self._unparsed = UnparsedInput(host.memory_budget)
+        self._turn_messages = 0  # begun in this turn
+        self._body_arrival: BodyArrival | None = None  # of the streamed body of the current request
+        self._accepted_at = 0
+        self._message_started_at = 0
+        self._last_data_at = 0
+
+    def client_left(self) -> None:
+        """Called when the client has closed the connection while reading was paused."""
+        raise NotImplementedError
+
+    def data_received(self, data: bytes) -> None:
+        """Parses the bytes, or discards them if the last response has been written."""
+        if self in self._stages.lingering:
+            return
+        self.reader.received_at = self._read_flow.arrival_time(self.transport, self._host.now())
+        self._unparsed.append(data)
+        self._check_body_arrival(paused=False)
+        self.parse_input()
+
+    def parse_input(self) -> None:
+        """Parses for one turn, or until the pipeline is full. Reading is paused while input is left."""
+        turn_bytes = 0
+        self._turn_messages = 0
+        while self._unparsed and turn_bytes < TURN_BYTES and self._turn_messages < TURN_MESSAGES:
+            if self._pipeline.is_full() or self.transport.is_closing() or self in self._stages.lingering:
+                break
+            turn_bytes += self._parse_part()
+        if self.reader.in_message and not self.transport.is_closing():
+            self._last_data_at = self._host.now()
+            if self._in_head and self in self._stages.open:
+                self._stages.receive_head(self, self._last_data_at)
+        self._continue_input()
+
+    def _parse_part(self) -> int:
+        """Parses the next part of the input. Returns its size, or 0 if its length was announced."""
+        body = self.reader.message.body
+        has_known_length = self.reader.is_in_body and body.declared_length is not None
+        bytes_missing = (body.declared_length or 0) - body.received
+        part = self._unparsed.take(max(1, bytes_missing) if has_known_length else PART_BYTES)
+        if self._body_arrival:
+            self._body_arrival.add_read(len(part))
+        super().data_received(part)
+        if self.reader.framing_lost:
+            self._unparsed.clear()
+        return 0 if has_known_length else len(part)
+
+    def _continue_input(self) -> None:
+        """Reads on if all input has been parsed; else parses on later, once the pipeline allows."""
+        if self.transport.is_closing() or self in self._stages.lingering:
+            return
+        if not self._unparsed:
+            self._resume_reading_if_drained()
+            return
+        self._pause_reading()
+        if not self._pipeline.is_full():
+            self._host.input_queue.add(self)
+
+    def message_started(self) -> None:
+        """Starts the timeout of a request at its first byte."""
+        self._turn_messages += 1
+        self._message_started_at = self._host.now()
+        self._stages.start_head(self, self._message_started_at)
+
+    def is_too_slow(self, now: int) -> bool:
+        """Whether the body of the current request arrives too slowly or has stalled."""
+        current = self._pipeline.current
+        if current is None or self._read_flow.paused:
+            return False
+        received = current.body.received
+        return is_body_too_slow(received, self._message_started_at, self._last_data_at, now)
+
+    def is_stalled(self, before: int) -> bool:
+        """Whether a head is incomplete, with no byte received since `before` (us) and none unread."""
+        if not self._in_head or self.transport.is_closing():
+            return False
+        return self._last_data_at < before and not (self._unparsed or unread_bytes(self.transport))
+
+    def _pause_reading_if_full(self) -> None:
+        if self._pipeline.is_full():
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if self._read_flow.paused or self.transport.is_closing():
+            return
+        self._check_body_arrival(paused=False)
+        self._read_flow.pause(self.transport, self._host.now(), self.client_left, self._check_body_arrival)
+
+    def _resume_reading_if_drained(self) -> None:
+        if not self._read_flow.paused or self.transport.is_closing():
+            return
+        if not self._pipeline.is_drained():
+            return
+        if self._unparsed:
+            self._host.input_queue.add(self)
+        elif self._may_read():
+            self._check_body_arrival()
+            self._last_data_at = self._host.now()
+            # The time of the pause does not count towards the client's timeout.
+            counted_from = max(self._message_started_at, self._read_flow.paused_at)
+            self._message_started_at += self._last_data_at - counted_from
+            self._read_flow.resume(self.transport)
+
+    def _check_body_arrival(self, paused: bool = True) -> None:
+        """Starts or stops the deadline of the current request, whose last byte may have been written."""
+        request_id, arrival = self._pipeline.engine_request_id, self._body_arrival
+        if arrival is None or request_id is None or self._pipeline.current_is_complete:
+            return
+        written_at = arrival.check(self.transport, self._host.now(), paused, len(self._unparsed))
+        if written_at is None:
+            self._engine.on_body_missing(request_id)
+        else:
+            self._engine.on_body_arrived(request_id, written_at)
+
+    @property
+    def _in_head(self) -> bool:
+        """Whether the next request has begun, and its head is incomplete."""
+        return self.reader.in_message and not (self._pipeline.waiting or self._pipeline.has_current)
+
+    @property
+    def _drain_stage(self) -> DrainStage:
+        return drain_stage(self._host.draining_since, self._accepted_at, self._host.now())
+
+    def _may_read(self) -> bool:
+        """Returns whether to read more: the rest of the current request, or further ones at this stage."""
+        if self._drain_stage in (DrainStage.SERVING, DrainStage.READING):
+            return True
+        return self._in_head or not self._pipeline.current_is_complete
+
+    def _has_more_input(self) -> bool:
+        """Returns whether data after the current request has been read or is unread in the socket."""
+        if self._pipeline.waiting or self._more_messages or self._unparsed:
+            return True
+        return not self.transport.is_closing() and unread_bytes(self.transport) > 0
--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -7,39 +7,32 @@
 
 from quota_ingress.net.downstream import response
 from quota_ingress.net.downstream.body_arrival import BLOCKED_BYTES, BodyArrival
+from quota_ingress.net.downstream.client_input import ClientInput
 from quota_ingress.net.downstream.close_reason import UNANSWERED_ALLOWED, CloseReason
-from quota_ingress.net.downstream.drain_stage import DrainStage, drain_stage
+from quota_ingress.net.downstream.drain_stage import DrainStage
 from quota_ingress.net.downstream.host import ConnectionHost
-from quota_ingress.net.downstream.input_queue import UnparsedInput
-from quota_ingress.net.downstream.pipeline import RequestPipeline, must_be_streamed
-from quota_ingress.net.downstream.read_flow import ReadFlow
+from quota_ingress.net.downstream.pipeline import must_be_streamed
 from quota_ingress.net.downstream.request_parser import (
-    FIELDS,
     InvalidRequestError,
     check_body,
     encode_forwarded_head,
 )
 from quota_ingress.net.downstream.response_writer import ResponseWriter, StreamState
-from quota_ingress.net.downstream.timeouts import is_body_too_slow, unread_timeout_us
+from quota_ingress.net.downstream.timeouts import unread_timeout_us
 from quota_ingress.net.engine.ports import AttemptResult
 from quota_ingress.net.engine.requests import ParsedRequest
 from quota_ingress.net.http import (
     WRITE_BUFFER_BYTES,
     FramingError,
-    HttpConnection,
     Message,
-    RequestReader,
     limit_socket_buffers,
 )
 from quota_ingress.net.socket_state import peer_has_closed, unread_bytes
 
 HEALTH_CHECK_PATH = b"/up"
-PART_BYTES = 512  # parsed at once, outside of bodies of known length; a pipeline is bounded between parts
-TURN_BYTES = 4096  # parsed in one turn
-TURN_MESSAGES = 8  # begun in one turn
 
 
-class ClientConnection(HttpConnection):
+class ClientConnection(ClientInput):
     """One client connection, which answers one request at a time, in order.
 
     A request waits in the pipeline until it becomes the current one. When its body is complete, or has become
@@ -52,21 +45,10 @@
         `queued_since` (us) is the earliest time at which the connection may have entered the accept queue.
         None: it has not waited there.
         """
-        super().__init__(RequestReader(host.memory_budget, FIELDS))
-        self._host = host
-        self._engine = host.engine
-        self._stages = host.stages
-        self._read_flow = ReadFlow(queued_since)
-        self._unparsed = UnparsedInput(host.memory_budget)
-        self._turn_messages = 0  # begun in this turn
-        self._pipeline = RequestPipeline()
+        super().__init__(host, queued_since)
         self._writer = ResponseWriter()
-        self._body_arrival: BodyArrival | None = None  # of the streamed body of the current request
         self._close_reason: CloseReason | None = None  # None until this side closes the connection
         self._over_limit = False  # accepted above the descriptor limit, so its requests are rejected
-        self._accepted_at = 0
-        self._message_started_at = 0
-        self._last_data_at = 0
         self._keep_alive = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,59 +77,6 @@
         self._writer.release_body()
         self._report_disconnect()
 
-    def data_received(self, data: bytes) -> None:
-        """Parses the bytes, or discards them if the last response has been written."""
-        if self in self._stages.lingering:
-            return
-        self.reader.received_at = self._read_flow.arrival_time(self.transport, self._host.now())
-        self._unparsed.append(data)
-        self._check_body_arrival(paused=False)
-        self.parse_input()
-
-    def parse_input(self) -> None:
-        """Parses for one turn, or until the pipeline is full. Reading is paused while input is left."""
-        turn_bytes = 0
-        self._turn_messages = 0
-        while self._unparsed and turn_bytes < TURN_BYTES and self._turn_messages < TURN_MESSAGES:
-            if self._pipeline.is_full() or self.transport.is_closing() or self in self._stages.lingering:
-                break
-            turn_bytes += self._parse_part()
-        if self.reader.in_message and not self.transport.is_closing():
-            self._last_data_at = self._host.now()
-            if self._in_head and self in self._stages.open:
-                self._stages.receive_head(self, self._last_data_at)
-        self._continue_input()
-
-    def _parse_part(self) -> int:
-        """Parses the next part of the input. Returns its size, or 0 if its length was announced."""
-        body = self.reader.message.body
-        has_known_length = self.reader.is_in_body and body.declared_length is not None
-        bytes_missing = (body.declared_length or 0) - body.received
-        part = self._unparsed.take(max(1, bytes_missing) if has_known_length else PART_BYTES)
-        if self._body_arrival:
-            self._body_arrival.add_read(len(part))
-        super().data_received(part)
-        if self.reader.framing_lost:
-            self._unparsed.clear()
-        return 0 if has_known_length else len(part)
-
-    def _continue_input(self) -> None:
-        """Reads on if all input has been parsed; else parses on later, once the pipeline allows."""
-        if self.transport.is_closing() or self in self._stages.lingering:
-            return
-        if not self._unparsed:
-            self._resume_reading_if_drained()
-            return
-        self._pause_reading()
-        if not self._pipeline.is_full():
-            self._host.input_queue.add(self)
-
-    def message_started(self) -> None:
-        """Starts the timeout of a request at its first byte."""
-        self._turn_messages += 1
-        self._message_started_at = self._host.now()
-        self._stages.start_head(self, self._message_started_at)
-
     def message_received(self, message: Message) -> None:
         """Handles a request whose head is complete, or more of whose body has been received."""
         if self.transport.is_closing() or self in self._stages.lingering:  # after the last response
@@ -210,24 +139,9 @@
     @property
     def is_responding(self) -> bool:
         """Whether a response is owed or is being written: ending the connection would cut it off."""
-        is_streaming = self._writer.body is not None
-        return is_streaming or bool(
-            self.transport.get_write_buffer_size() or self._pipeline.count_unanswered()
-        )
-
-    def is_too_slow(self, now: int) -> bool:
-        """Whether the body of the current request arrives too slowly or has stalled."""
-        current = self._pipeline.current
-        if current is None or self._read_flow.paused:
-            return False
-        received = current.body.received
-        return is_body_too_slow(received, self._message_started_at, self._last_data_at, now)
-
-    def is_stalled(self, before: int) -> bool:
-        """Whether a head is incomplete, with no byte received since `before` (us) and none unread."""
-        if not self._in_head or self.transport.is_closing():
-            return False
-        return self._last_data_at < before and not (self._unparsed or unread_bytes(self.transport))
+        if self._unparsed or self._pipeline.count_unanswered():
+            return True
+        return self._writer.body is not None or self.transport.get_write_buffer_size() > 0
 
     def update_read_progress(self, now: int) -> None:
         """Restarts the unread-response timeout if the client has read more since the last call."""
@@ -297,56 +211,12 @@
         """Sends 504 if the request timed out, else 502. The request may or may not have run."""
         self._write_response(504 if timed_out else 502, b"", b"failed\n")
 
-    # Reading.
-
-    def _pause_reading_if_full(self) -> None:
-        if self._pipeline.is_full():
-            self._pause_reading()
-
-    def _pause_reading(self) -> None:
-        if self._read_flow.paused or self.transport.is_closing():
-            return
-        self._check_body_arrival(paused=False)
-        self._read_flow.pause(
-            self.transport, self._host.now(), self._abort_after_disconnect, self._check_body_arrival
-        )
-
-    def _resume_reading_if_drained(self) -> None:
-        if not self._read_flow.paused or self.transport.is_closing():
-            return
-        if not self._pipeline.is_drained():
-            return
-        if self._unparsed:
-            self._host.input_queue.add(self)
-        elif self._may_read():
-            self._check_body_arrival()
-            self._last_data_at = self._host.now()
-            # The time of the pause does not count towards the client's timeout.
-            counted_from = max(self._message_started_at, self._read_flow.paused_at)
-            self._message_started_at += self._last_data_at - counted_from
-            self._read_flow.resume(self.transport)
-
-    def _check_body_arrival(self, paused: bool = True) -> None:
-        """Starts or stops the deadline of the current request, whose last byte may have been written."""
-        request_id, arrival = self._pipeline.engine_request_id, self._body_arrival
-        if arrival is None or request_id is None or self._pipeline.current_is_complete:
-            return
-        written_at = arrival.check(self.transport, self._host.now(), paused, len(self._unparsed))
-        if written_at is None:
-            self._engine.on_body_missing(request_id)
-        else:
-            self._engine.on_body_arrived(request_id, written_at)
-
-    def _abort_after_disconnect(self) -> None:
+    def client_left(self) -> None:
+        """Ends the connection, as the client has closed it while reading was paused."""
         self.abort(CloseReason.CLIENT_LEFT)
 
     # Requests, in order.
 
-    @property
-    def _in_head(self) -> bool:
-        """Whether the next request has begun, and its head is incomplete."""
-        return self.reader.in_message and not (self._pipeline.waiting or self._pipeline.has_current)
-
     @property
     def _has_current_request(self) -> bool:
         return self._pipeline.has_current or self._writer.body is not None
@@ -355,22 +225,6 @@
     def _can_start_request(self) -> bool:
         return not self._has_current_request and self not in self._stages.write_blocked
 
-    @property
-    def _drain_stage(self) -> DrainStage:
-        return drain_stage(self._host.draining_since, self._accepted_at, self._host.now())
-
-    def _may_read(self) -> bool:
-        """Returns whether to read more: the rest of the current request, or further ones at this stage."""
-        if self._drain_stage in (DrainStage.SERVING, DrainStage.READING):
-            return True
-        return self._in_head or not self._pipeline.current_is_complete
-
-    def _has_more_input(self) -> bool:
-        """Returns whether data after the current request has been read or is unread in the socket."""
-        if self._pipeline.waiting or self._more_messages or self._unparsed:
-            return True
-        return not self.transport.is_closing() and unread_bytes(self.transport) > 0
-
     def _start_next_request(self) -> None:
         message = self._pipeline.take_next()
         self._body_arrival = None
@@ -434,7 +288,7 @@
         if not (body.complete or must_be_streamed(body)):
             return
         if peer_has_closed(self.transport):  # while the request waited in the accept queue or the pipeline
-            self._abort_after_disconnect()
+            self.client_left()
             return
         parsed.received_at = message.completed_at if body.complete else self._host.now()
         if length_became_known:
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -18,6 +18,7 @@
     Ingress,
     PeerServer,
     read_response,
+    read_statuses,
     received_request_ids,
     request,
     respond_with,
@@ -209,3 +210,14 @@
             assert await reader.readexactly(len(MEGABYTE)) == MEGABYTE
         await shutdown
     writer.close()
+
+
+@pytest.mark.usefixtures("no_grace")
+async def test_a_shutdown_answers_all_requests_that_were_sent_ahead(pair: IngressAndBackend) -> None:
+    """Guards against closing the connection with requests that were read, and not even parsed."""
+    reader, writer = await pair.connect(b"".join(request(f"a{n}") for n in range(60)))
+    await pair.wait_for_data()
+    await graceful_shutdown.finish_requests(pair.ingress.engine, pair.ingress.listener)
+    assert await read_statuses(reader, 60) == [b"504"] + 59 * [b"429"]
+    assert await reader.read() == b"" and pair.ingress.engine.event_log.violations == 0
+    writer.close()
--- a/tests/test_input_queue.py
+++ b/tests/test_input_queue.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from quota_ingress.net.downstream.connection import PART_BYTES, ClientConnection
+from quota_ingress.net.downstream.client_input import PART_BYTES
+from quota_ingress.net.downstream.connection import ClientConnection
 from quota_ingress.net.downstream.input_queue import InputQueue, UnparsedInput
 from quota_ingress.net.downstream.pipeline import MAX_PIPELINED_REQUESTS
 from quota_ingress.net.http import MemoryBudget
