Count an attempt as load once its request is received: stopped uploads took all slots

Cause: attempts of requests that were still being received counted against the backends' limits, 16 each, though a backend begins with the last byte. Change: the policy is told when a request is being received and when it is complete, and counts load from then on.

--- a/quota_ingress/net/engine/engine.py
+++ b/quota_ingress/net/engine/engine.py
@@ -41,6 +41,7 @@
     Outcome,
     ProbeAnswered,
     RequestArrived,
+    RequestReceived,
     TimerFired,
 )
 from quota_ingress.policy.settings import Settings
@@ -143,6 +144,7 @@
                 parsed.first_gateway,
                 parsed.gateway_count,
                 parsed.is_retry,
+                not parsed.body.complete,
             )
         )
         return True
@@ -178,6 +180,7 @@
             for attempt in request.attempts:
                 if not attempt.ended:
                     self.attempt_runner.start_timer(request, attempt)
+            self.post(RequestReceived(request.number))
 
     def on_disconnect(self, request_id: bytes) -> None:
         """Ends the request of a client that has disconnected, or the streaming of its response."""
--- a/quota_ingress/policy/events.py
+++ b/quota_ingress/policy/events.py
@@ -37,6 +37,14 @@
     first_gateway: int = 0  # index of the first gateway that this customer's requests come through
     gateway_count: int = 1  # number of gateways that they come through
     is_retry: bool = False  # the client repeats a rejected request
+    is_receiving: bool = False  # its body is still being received: endpoints do not begin with it yet
+
+
+@dataclass(frozen=True, slots=True)
+class RequestReceived:
+    """The body of a request that arrived with `is_receiving` is complete."""
+
+    request: int  # id
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +115,7 @@
 
 Event = (
     RequestArrived
+    | RequestReceived
     | AttemptEnded
     | StreamStarted
     | ClientDisconnected
--- a/quota_ingress/policy/gateway.py
+++ b/quota_ingress/policy/gateway.py
@@ -31,6 +31,7 @@
     Event,
     Outcome,
     RequestArrived,
+    RequestReceived,
     StreamStarted,
     TimerFired,
 )
@@ -77,6 +78,8 @@
         match event:
             case RequestArrived():
                 self._on_request(event)
+            case RequestReceived(request_id):
+                self._on_request_received(request_id)
             case AttemptEnded():
                 self._on_attempt_ended(event)
             case TimerFired(request_id):
@@ -161,7 +164,9 @@
             self.actions.append(SetTimer(request_id, self.now + timing.hedge_after))
         self.actions.append(SendAttempt(request_id, endpoint.entry.id, max(1, timing.timeout)))
         self.attempts_in_flight[request_id, len(request.attempts)] = request
-        request.attempts.append(Attempt(endpoint, self.now))
+        request.attempts.append(Attempt(endpoint, self.now, is_load=not request.is_receiving))
+        if not request.is_receiving:
+            self.load_balancer.add_load(endpoint)
 
     def _on_request(self, event: RequestArrived) -> None:
         if event.request in self.requests:
@@ -176,10 +181,22 @@
             self.admission.quota_for(event),
             arrived_at=self.now,
             useful_until=self.now + min(event.time_left, _useful_time(request_class)),
+            is_receiving=event.is_receiving,
         )
         self.requests[event.request] = request
         self.admission.on_arrival(request)
 
+    def _on_request_received(self, request_id: int) -> None:
+        """Counts the request's attempts as load: the endpoints begin with it now."""
+        request = self.requests.get(request_id)
+        if request is None:
+            return
+        request.is_receiving = False
+        for attempt in request.attempts:
+            if attempt.in_flight and not attempt.is_load:
+                attempt.is_load = True
+                self.load_balancer.add_load(attempt.endpoint)
+
     def _is_valid(self, event: RequestArrived) -> bool:
         return (
             event.request_class < len(self.settings.classes)
@@ -196,6 +213,8 @@
         attempt.in_flight = False
         attempt.may_have_run = event.outcome not in NEVER_RAN
         request.quota.in_flight -= 1
+        if attempt.is_load:
+            self.load_balancer.remove_load(attempt.endpoint)
         self.load_balancer.on_attempt_ended(
             attempt.endpoint, self.now, request.event.request_class, event.outcome, event.latency
         )
--- a/quota_ingress/policy/load_balancer.py
+++ b/quota_ingress/policy/load_balancer.py
@@ -55,17 +55,22 @@
         self._slow_start.unsent_requests = 0.0
         if chosen is None and len(endpoints.preferred) < len(endpoints.ready):
             chosen = self._choose_among(endpoints.ready, now, request_class, may_send)
-        if chosen:
-            chosen.in_flight += 1
-            endpoints.in_flight += 1
         return chosen
 
+    def add_load(self, endpoint: Endpoint) -> None:
+        """Counts an attempt that its endpoint works on."""
+        endpoint.in_flight += 1
+        self._endpoints.in_flight += 1
+
+    def remove_load(self, endpoint: Endpoint) -> None:
+        """Stops counting an attempt that `add_load` has counted."""
+        endpoint.in_flight = max(0, endpoint.in_flight - 1)
+        self._endpoints.in_flight -= 1
+
     def on_attempt_ended(
         self, endpoint: Endpoint, now: int, request_class: int, outcome: Outcome, latency: int
     ) -> None:
-        """Updates slowdowns and limits after an attempt at a chosen endpoint; latency in microseconds."""
-        endpoint.in_flight = max(0, endpoint.in_flight - 1)
-        self._endpoints.in_flight -= 1
+        """Updates slowdowns and limits after an attempt, which is no load any more; latency in us."""
         self._slowdowns.record(endpoint, now, request_class, outcome, latency)
         step = limit_step(outcome, latency, self._latency_objectives[request_class])
         if step < 0 or (outcome is Outcome.OK and self._was_busy(endpoint, now)):
--- a/quota_ingress/policy/request_state.py
+++ b/quota_ingress/policy/request_state.py
@@ -20,6 +20,7 @@
     endpoint: Endpoint
     sent_at: int  # us
     in_flight: bool = True
+    is_load: bool = True  # counts as in flight at its endpoint; not before the request's body is complete
     may_have_run: bool = True  # False once its outcome shows that the endpoint did not execute it
 
 
@@ -32,6 +33,7 @@
     quota: CustomerQuota
     arrived_at: int  # us
     useful_until: int  # us; a later answer is not worth the work
+    is_receiving: bool = False  # its body is incomplete
     attempts: list[Attempt] = field(default_factory=list)  # in the order in which they were sent
 
     def first_attempt_that_may_have_run(self) -> Attempt | None:
--- a/tests/test_load_balancer.py
+++ b/tests/test_load_balancer.py
@@ -6,7 +6,7 @@
 
 from quota_ingress.policy.actions import Reject, SendAttempt
 from quota_ingress.policy.endpoint_list import EndpointState, ListKind
-from quota_ingress.policy.events import AttemptEnded, Outcome
+from quota_ingress.policy.events import AttemptEnded, Outcome, RequestReceived
 from quota_ingress.policy.gateway import Gateway
 from tests.helpers import (
     DRAINING,
@@ -99,3 +99,27 @@
             chosen[request_class] += [sent.endpoint] * (n > 50)
     assert sum(endpoint in (1, 2) for endpoint in chosen[0]) < 0.15 * len(chosen[0])
     assert sum(endpoint in (1, 2) for endpoint in chosen[1]) > 0.3 * len(chosen[1])
+
+
+def test_a_request_is_load_only_once_its_body_has_been_received() -> None:
+    """Guards against rejecting all requests behind 96 uploads that have stopped half way."""
+    gateway = unlimited_gateway(endpoint_entry(1), endpoint_entry(2))
+    for n in range(100):
+        (sent,) = of_type(gateway.handle(0, arrival(n, is_receiving=True)), SendAttempt)
+        assert gateway.endpoints.in_flight == 0
+    assert of_type(gateway.handle(0, arrival(100)), SendAttempt) and gateway.endpoints.in_flight == 1
+    for n in range(100):
+        gateway.handle(0, RequestReceived(n))
+    assert gateway.endpoints.in_flight == 101
+    assert of_type(gateway.handle(0, arrival(101)), Reject)
+    gateway.handle(1000, RequestReceived(99))  # once only
+    gateway.handle(1000, AttemptEnded(99, 0, sent.endpoint, Outcome.OK, 500, True))
+    gateway.handle(1000, RequestReceived(99))  # it has ended
+    assert gateway.endpoints.in_flight == 100
+
+
+def test_an_attempt_that_ends_before_its_body_was_received_is_no_load() -> None:
+    gateway = unlimited_gateway(endpoint_entry(1))
+    (sent,) = of_type(gateway.handle(0, arrival(1, is_receiving=True)), SendAttempt)
+    gateway.handle(1000, AttemptEnded(1, 0, sent.endpoint, Outcome.CANCELLED, 0, True))
+    assert gateway.endpoints.in_flight == 0
