Keep one copy of what discovery says: a draining backend was used again

Cause: discovery's entry was kept beside an override and outlived it, and was preferred to later changes. A start handed over without the one reported with it made a cold backend warm. Change: the entry is kept only while the published one differs; an endpoint that is not listed at a handover has no override in the new process. Not played again with real processes.

--- a/quota_ingress/net/discovery/operator_overrides.py
+++ b/quota_ingress/net/discovery/operator_overrides.py
@@ -66,7 +66,7 @@
         self._now = now
         self._publish = publish
         self._directory = directory
-        self._as_discovered: dict[str, EndpointEntry] = {}  # of listed endpoints with an override
+        self._as_discovered: dict[str, EndpointEntry] = {}  # where the directory's entry differs
         # Names of removed endpoints, and of others that operators' calls have named.
         self._recorded_names: OrderedDict[str, None] = OrderedDict()  # oldest first
         self._incoming_entries: dict[str, PackedEntry] = {}  # of the other process's list, by name
@@ -85,9 +85,7 @@
         packed = endpoints.packed
         for name in self._overridden_names(endpoints):
             if not is_removed(packed[name]):
-                entry = unpack_entry(name, packed[name])
-                self._as_discovered[name] = entry
-                packed[name] = pack_entry(self._with_override(entry))
+                packed[name] = pack_entry(self._override(unpack_entry(name, packed[name])))
         self.list_version = endpoints.version
         self._publish(endpoints, kind)
 
@@ -98,7 +96,8 @@
             list_version=self.list_version,
             endpoint_count=len(self._directory),
             offline=tuple(sorted(self.offline)),
-            back_online_at=dict(self._back_online_at),
+            # One that is not listed has ended since: when it is listed again, it has started again.
+            back_online_at={n: at for n, at in self._back_online_at.items() if n in self._directory},
             removed_names=tuple(sorted(unlisted)),
         )
 
@@ -208,10 +207,18 @@
 
     def _publish_entry(self, name: str) -> None:
         if name in self._directory:
-            entry = self._as_discovered.setdefault(name, self._directory[name])
-            self._publish(
-                EndpointList.from_entries(self.list_version, False, [self._with_override(entry)]), None
-            )
+            as_discovered = self._as_discovered.get(name) or self._directory[name]
+            published = [self._override(as_discovered)]
+            self._publish(EndpointList.from_entries(self.list_version, False, published), None)
+
+    def _override(self, as_discovered: EndpointEntry) -> EndpointEntry:
+        """Returns the entry to publish. What discovery says is kept while it differs, and only then."""
+        published = self._with_override(as_discovered)
+        if published == as_discovered:
+            self._as_discovered.pop(as_discovered.name, None)
+        else:
+            self._as_discovered[as_discovered.name] = as_discovered
+        return published
 
     def _with_override(self, entry: EndpointEntry) -> EndpointEntry:
         if entry.state is EndpointState.READY and entry.name in self.offline:
--- a/tests/test_operator_overrides.py
+++ b/tests/test_operator_overrides.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import random
 
 import pytest
 
+from quota_ingress.net.discovery.endpoint import EndpointEntry
 from quota_ingress.net.discovery.endpoint_codec import STATUS_BY_STATE, decode_endpoint_list
 from quota_ingress.net.discovery.endpoint_list import EndpointList
 from quota_ingress.net.discovery.operator_overrides import IncompleteListError
@@ -161,3 +163,93 @@
     assert published[-1].entries[0].state is EndpointState.READY and not new.offline
     with pytest.raises(IncompleteListError):
         new.restore(old.snapshot())  # the entries have not been restored
+
+
+class DrawnSequence:
+    """Draws lists, operators' calls and upgrades, and compares what is published with what has been said."""
+
+    NAMES = ("a", "b", "c")
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now_us = 1_000_000_000
+        self.discovered: dict[str, tuple[str, int]] = {}  # state and start in ms, by name
+        self.banned: set[str] = set()
+        self.version = 0
+        self.overrides = overrides_of_own_directory(lambda: self.now_us)
+
+    def step(self) -> None:
+        self.now_us += self.rng.randrange(1, 3_000_000)
+        steps = (self.list_change, self.list_change, self.snapshot, self.call, self.call, self.upgrade)
+        self.rng.choice(steps)()
+        for name, published in self.overrides.entries.items():
+            state, _ = self.discovered[name]
+            expected = "draining" if name in self.banned else state
+            assert STATUS_BY_STATE[published.state] == expected
+        assert self.overrides.entries.keys() == self.discovered.keys()
+
+    def draw_entry(self, name: str) -> None:
+        started_ms = self.discovered.get(name, ("", 0))[1]
+        if self.rng.random() < 0.3:
+            started_ms += 1000
+        self.discovered[name] = (self.rng.choice(("up", "up", "draining")), started_ms)
+
+    def list_change(self) -> None:
+        name = self.rng.choice(self.NAMES)
+        if name in self.discovered and self.rng.random() < 0.2:
+            del self.discovered[name]
+            self.publish([entry(name, 1, "removed")], is_snapshot=False)
+        else:
+            self.draw_entry(name)
+            self.publish([self.entry(name)], is_snapshot=False)
+
+    def snapshot(self) -> None:
+        self.discovered = {name: e for name, e in self.discovered.items() if self.rng.random() < 0.9}
+        for name in list(self.discovered):
+            self.draw_entry(name)
+        self.publish([self.entry(name) for name in self.discovered], is_snapshot=True)
+
+    def call(self) -> None:
+        name = self.rng.choice(self.NAMES)
+        if self.rng.random() < 0.5:
+            if self.overrides.take_offline(name):
+                self.banned.add(name)
+        elif self.overrides.put_online(name):
+            self.banned.discard(name)
+
+    def upgrade(self) -> None:
+        new = overrides_of_own_directory(lambda: self.now_us)
+        for batch in self.overrides.entry_batches():
+            new.restore_entries(json.loads(json.dumps(batch)))
+        state = encode_and_decode(ServingState(self.overrides.snapshot(), False, clock_base_us=1))
+        new.apply_list(new.restore(state.overrides))
+        self.overrides = new
+
+    def entry(self, name: str) -> EndpointEntry:
+        state, started_ms = self.discovered[name]
+        return entry(name, 1, state, started_ms)
+
+    def publish(self, entries: list[EndpointEntry], is_snapshot: bool) -> None:
+        self.version += 1
+        self.overrides.apply_list(EndpointList.from_entries(self.version, is_snapshot, entries))
+
+
+@pytest.mark.parametrize("seed", range(400))
+def test_what_is_published_is_what_discovery_and_operators_said_last(seed: int) -> None:
+    """Guards against a stale copy: one that drained was used again after an upgrade or a second ban."""
+    sequence = DrawnSequence(seed)
+    for _ in range(50):
+        sequence.step()
+
+
+def test_an_endpoint_that_returns_after_an_upgrade_has_the_start_that_discovery_reports() -> None:
+    """Guards against taking a cold endpoint for warm, as its earlier return from a ban counted as its start."""
+    old = overrides_of_own_directory(lambda: 7_000_000)
+    old.apply_list(EndpointList.from_entries(1, True, [entry("a", 1, since_ms=3)]))
+    old.take_offline("a")
+    old.put_online("a")
+    old.apply_list(EndpointList.from_entries(2, False, [entry("a", 1, "removed")]))
+    new = overrides_of_own_directory(lambda: 50_000_000)
+    new.apply_list(new.restore(encode_and_decode(ServingState(old.snapshot(), False, 1)).overrides))
+    new.apply_list(EndpointList.from_entries(3, False, [entry("a", 1, since_ms=49_000)]))
+    assert new.entries["a"].started_us == 49_000_000
