--- a/tests/test_operator_overrides.py
+++ b/tests/test_operator_overrides.py
@@ -243,7 +243,7 @@
 
 
 def test_an_endpoint_that_returns_after_an_upgrade_has_the_start_that_discovery_reports() -> None:
-    """Guards against taking a cold endpoint for warm, as its earlier return from a ban counted as its start."""
+    """Guards against taking a cold endpoint for warm: an earlier return from a ban was its start."""
     old = overrides_of_own_directory(lambda: 7_000_000)
     old.apply_list(EndpointList.from_entries(1, True, [entry("a", 1, since_ms=3)]))
     old.take_offline("a")
