Spare the input queue, body arrival and dropped pools work that they need not do

Two tests began a long response in the same lines, as two others did. Change: the queue finds a connection at once; the search for progress goes from its end and only where there is an answer; a dropped pool is kept only if it is busy; the four tests share begin_long_response, with their assertions as they were.

--- a/quota_ingress/net/downstream/body_arrival.py
+++ b/quota_ingress/net/downstream/body_arrival.py
@@ -52,9 +52,8 @@
         self._blocked_at: int | None = None  # us: when BLOCKED_BYTES were last seen unread
         self._bytes_read = 0  # and parsed since the start, with the framing of chunks
         self._bytes_arrived = 0  # read or unread
-        self._progress = deque(
-            [Progress(now, 0)]
-        )  # in steps of BLOCKED_BYTES, for the last CLIENT_BUFFER_BYTES
+        # In steps of BLOCKED_BYTES, for the last CLIENT_BUFFER_BYTES.
+        self._progress = deque([Progress(now, 0)])
         self._bytes_missing = None  # at the start; None: not known
         if body.declared_length is not None:
             self._bytes_missing = body.declared_length - body.received
@@ -101,9 +100,8 @@
         self._bytes_arrived = bytes_arrived
         if bytes_arrived >= self._progress[-1].bytes_arrived + BLOCKED_BYTES:
             self._progress.append(Progress(since, bytes_arrived))
-        while (
-            len(self._progress) > 1 and self._progress[1].bytes_arrived <= bytes_arrived - CLIENT_BUFFER_BYTES
-        ):
+        outdated = bytes_arrived - CLIENT_BUFFER_BYTES
+        while len(self._progress) > 1 and self._progress[1].bytes_arrived <= outdated:
             self._progress.popleft()
         earliest = self._written_before(bytes_arrived)
         self.written_at = since if earliest is None else min(since, earliest)
@@ -113,7 +111,10 @@
 
         The client's machine has held bytes back since `_unblocked_at`, and so has no more of them than fit.
         """
-        before = [p.at for p in self._progress if p.bytes_arrived <= max(0, length - CLIENT_BUFFER_BYTES)]
-        if self._bytes_arrived < length - CLIENT_BUFFER_BYTES:
+        arrived_by_then = length - CLIENT_BUFFER_BYTES
+        if self._bytes_arrived < arrived_by_then:
             return None
-        return max(self._unblocked_at, before[-1])
+        reached_at = next(
+            p.at for p in reversed(self._progress) if p.bytes_arrived <= max(0, arrived_by_then)
+        )
+        return max(self._unblocked_at, reached_at)
--- a/quota_ingress/net/downstream/input_queue.py
+++ b/quota_ingress/net/downstream/input_queue.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import Protocol
 
 from quota_ingress.net.http import MemoryBudget
@@ -61,14 +60,13 @@
 
     def __init__(self) -> None:
         """Starts empty, and schedules calls on the running event loop from the first `add` on."""
-        self._owners: deque[InputOwner] = deque()
+        self._owners: dict[InputOwner, None] = {}  # in order; a dictionary finds one at once
         self._scheduled = False
 
     def add(self, owner: InputOwner) -> None:
         """Gives the connection one turn later, unless it waits for one already."""
-        if owner not in self._owners:
-            self._owners.append(owner)
-            self._schedule()
+        self._owners.setdefault(owner)
+        self._schedule()
 
     def _schedule(self) -> None:
         if not self._scheduled:
@@ -77,6 +75,8 @@
 
     def _take_turn(self) -> None:
         self._scheduled = False
-        self._owners.popleft().parse_input()
+        owner = next(iter(self._owners))
+        del self._owners[owner]
+        owner.parse_input()
         if self._owners:
             self._schedule()
--- a/quota_ingress/net/upstream/client.py
+++ b/quota_ingress/net/upstream/client.py
@@ -100,7 +100,8 @@
             if pool := self._pools.pop(backend, None):
                 pool.accepts_requests = False
                 pool.withdraw()
-                self._dropped_pools.append(pool)
+                if pool.busy:
+                    self._dropped_pools.append(pool)
         to_withdraw = self._to_withdraw
         self._to_withdraw = set()
         for backend in to_withdraw & self._pools.keys():
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -30,6 +30,17 @@
 from tests.support.streaming import MEGABYTE, IngressAndBackend, read_chunked, save
 
 
+async def begin_long_response(
+    pair: IngressAndBackend,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, Peer]:
+    """Returns a client that has the head of a response, of which 200,000 bytes of 1 MiB are given."""
+    reader, writer = await pair.connect(request())
+    peer = await pair.wait_for_data()
+    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
+    await reader.readuntil(b"\r\n\r\n")
+    return reader, writer, peer
+
+
 async def test_a_long_response_is_streamed_and_the_connection_is_kept_alive(
     pair: IngressAndBackend, no_reuse_delay: None
 ) -> None:
@@ -129,10 +140,7 @@
 
 
 async def test_a_disconnect_during_a_response_ends_the_attempt(pair: IngressAndBackend) -> None:
-    reader, writer = await pair.connect(request())
-    peer = await pair.wait_for_data()
-    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
-    await reader.readuntil(b"\r\n\r\n")
+    _, writer, _ = await begin_long_response(pair)
     writer.transport.abort()
     (ended,) = await pair.ingress.script.wait_for_events(AttemptEnded)
     assert ended.outcome is Outcome.CANCELLED
@@ -284,10 +292,7 @@
     pair: IngressAndBackend, monkeypatch: pytest.MonkeyPatch, is_snapshot: bool
 ) -> None:
     """Guards against a client that waits forever: connections to removed backends were not swept."""
-    reader, writer = await pair.connect(request())
-    peer = await pair.wait_for_data()
-    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
-    await reader.readuntil(b"\r\n\r\n")
+    reader, writer, _ = await begin_long_response(pair)
     removed = {"name": "s-1", "address": f"{HOST}:{pair.server.port}", "status": "removed"}
     entries = [] if is_snapshot else [removed]
     pair.ingress.engine.update_endpoints(
@@ -340,10 +345,7 @@
 ) -> None:
     """Guards against cutting off a response whose backend still writes it, with pauses of over 5 s."""
     monkeypatch.setattr(upstream_client, "STALL_TIMEOUT_S", -1.0)
-    reader, writer = await pair.connect(request())
-    peer = await pair.wait_for_data()
-    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
-    await reader.readuntil(b"\r\n\r\n")
+    reader, writer, peer = await begin_long_response(pair)
     pair.ingress.backends._sweep()
     peer.transport.write(MEGABYTE[200_000:])
     async with asyncio.timeout(10):
@@ -355,10 +357,7 @@
     pair: IngressAndBackend, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(upstream_client, "RESPONSE_STALL_TIMEOUT_S", -1.0)
-    reader, writer = await pair.connect(request())
-    peer = await pair.wait_for_data()
-    peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + MEGABYTE[:200_000])
-    await reader.readuntil(b"\r\n\r\n")
+    reader, writer, _ = await begin_long_response(pair)
     pair.ingress.backends._sweep()
     async with asyncio.timeout(10):
         with contextlib.suppress(ConnectionError):
