Give the uploads of the memory test time that outlasts the watch

Cause: the test asks that more than half of its uploads are under way after 4 s. Change: classes with 20 s, and uploads that ask for them. Checks and bounds stay; more uploads hold memory for longer.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -26,6 +26,8 @@
 SLOW_READ_INTERVAL_S = 0.1  # 64 kB/s
 WATCHED_S = 4.0
 SAMPLE_INTERVAL_S = 0.05
+DEADLINE_US = 20_000_000  # so that no upload ends by its time while it is watched
+UPLOAD_TIMEOUT = "20000m"
 BODIES_AHEAD = 12  # that a client sends without waiting for responses
 HEADS_AHEAD = 12
 SHORT_FIELDS = 1800  # in one head
@@ -58,7 +60,7 @@
 
 async def upload(port: int, number: int) -> None:
     reader, writer = await asyncio.open_connection(HOST, port)
-    head = save(f"Content-Length: {len(BODY)}", Cookie=f"customer={number:016x}")
+    head = save(f"Content-Length: {len(BODY)}", Cookie=f"customer={number:016x}", timeout=UPLOAD_TIMEOUT)
     writer.write(head.replace(b": a1", b": u%d" % number) + BODY)
     await reader.read(1)  # of a rejection
 
@@ -122,7 +124,8 @@
         {"name": f"s-{n}", "address": backend.address, "status": "up"} for n, backend in enumerate(backends)
     ]
     limits = {"memory_mb": memory_mb, "sockets": descriptors}
-    settings = RAW | {"ceilings": RAW["ceilings"] | {"max_open": 1000}}
+    services = [service | {"deadline": DEADLINE_US} for service in RAW["services"]]
+    settings = RAW | {"ceilings": RAW["ceilings"] | {"max_open": 1000}, "services": services}
     known = {"index": 1, "snapshot": True, "endpoints": endpoints}
     path = folder / "config.json"
     path.write_text(json.dumps(config_document(limits=limits, known=known, settings=settings)))
