Log the state of the memory budget, and what had come of the response of an ended attempt

Cause: the log of a process that was killed for memory has no line between its start and the kill, and a 429 doesn't say whether an attempt had begun, nor whether its backend was answering. Change: events memory (exhausted, overcommitted, sufficient) with the counted and the resident bytes, and a line in the log once requests are rejected for memory; response_bytes and backend in the end of an attempt; attempts in the end of a rejected request.

--- a/ingress_testbed/hollow.py
+++ b/ingress_testbed/hollow.py
@@ -42,6 +42,7 @@
     """An attempt without a socket: it succeeds after ATTEMPT_LATENCY."""
 
     written = True
+    response_bytes = None
 
     def __init__(self, on_result: OnResult) -> None:
         """Schedules `on_result` with a result of OK."""
--- a/quota_ingress/net/downstream/listener.py
+++ b/quota_ingress/net/downstream/listener.py
@@ -11,6 +11,7 @@
 from quota_ingress.net.downstream.connection import ClientConnection
 from quota_ingress.net.downstream.eviction import MAX_QUEUE_WAIT_S, STALL_TIMEOUT_S, evict_one
 from quota_ingress.net.downstream.input_queue import InputQueue
+from quota_ingress.net.downstream.memory_monitor import MemoryMonitor
 from quota_ingress.net.downstream.process_delay import ProcessDelayMonitor
 from quota_ingress.net.downstream.request_parser import RequestParser
 from quota_ingress.net.downstream.stages import ConnectionStages, StagedConnection
@@ -64,6 +65,7 @@
         self._eviction_timer: asyncio.TimerHandle | None = None
         self._acceptor: Acceptor | None = None
         self._delay_monitor = ProcessDelayMonitor(engine.event_log, int(SWEEP_INTERVAL_S * US_PER_S))
+        self._memory_monitor = MemoryMonitor(self.memory_budget, engine.event_log)
         self.descriptors.evict = self._evict
         self.descriptors.on_freed = self.resume_accepting
 
@@ -222,4 +224,5 @@
         self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.now()
         self._delay_monitor.record_call(now)
+        self._memory_monitor.record()
         enforce_timeouts(self.stages, now, self.draining_since is not None)
--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -128,11 +128,19 @@
         """Ends an attempt with its result and notifies the policy; does nothing if it has already ended."""
         if attempt.ended:
             return
+        response_bytes = attempt.exchange.response_bytes if attempt.exchange else None
         attempt.ended = True
         attempt.exchange = None
         attempt.outcome = result.outcome
         request.attempts_in_flight -= 1
-        self._event_log.event("attempt", result.outcome.value, id=request.parsed.id, n=attempt.number)
+        self._event_log.event(
+            "attempt",
+            result.outcome.value,
+            id=request.parsed.id,
+            n=attempt.number,
+            backend=attempt.backend,
+            response_bytes=response_bytes,
+        )
         for timer in (attempt.timer, attempt.delivery_timer):
             if timer:
                 timer.cancel()
--- a/quota_ingress/net/engine/engine.py
+++ b/quota_ingress/net/engine/engine.py
@@ -353,7 +353,13 @@
         request = self._requests.get(action.request)
         if request is None or request.answered:
             return
-        self.event_log.event("ended", "rejected", id=request.parsed.id, retry_after_us=action.retry_after)
+        self.event_log.event(
+            "ended",
+            "rejected",
+            id=request.parsed.id,
+            retry_after_us=action.retry_after,
+            attempts=len(request.attempts),
+        )
         self.mark_answered(request)
         request.client.reject(action.retry_after if self.settings.limits.sends_retry_after else 0)
         self._requests.remove_if_finished(action.request)
--- a/quota_ingress/net/engine/ports.py
+++ b/quota_ingress/net/engine/ports.py
@@ -49,6 +49,10 @@
     def delivered(self) -> bool:
         """Whether the backend's machine has acknowledged the whole request."""
 
+    @property
+    def response_bytes(self) -> int | None:
+        """The number of body bytes of the response so far; None before the end of its head."""
+
     def abort(self) -> bool:
         """Aborts the attempt. Returns whether it may have run: its last byte may have been written."""
 
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -163,6 +163,10 @@
             return False
         return not (self.transport.get_write_buffer_size() or unacknowledged_bytes(self.transport))
 
+    def response_bytes(self) -> int | None:
+        """Returns the number of body bytes of the response so far; None before the end of its head."""
+        return self.reader.message.body.received if self.reader.is_in_body else None
+
     def close(self, reason: UpstreamCloseReason) -> None:
         """Closes the connection in both directions at once; pending data is not sent.
 
--- a/quota_ingress/net/upstream/exchange.py
+++ b/quota_ingress/net/upstream/exchange.py
@@ -27,6 +27,9 @@
     def forward_body(self) -> None:
         """Writes more of the request body."""
 
+    def response_bytes(self) -> int | None:
+        """Returns the number of body bytes of the response so far; None before the end of its head."""
+
     def is_delivered(self) -> bool:
         """Returns whether the backend's machine has acknowledged the whole request."""
 
@@ -84,6 +87,11 @@
         """Whether the backend's machine has acknowledged the whole request."""
         return self.connection is not None and self.connection.is_delivered()
 
+    @property
+    def response_bytes(self) -> int | None:
+        """The number of body bytes of the response so far; None before the end of its head."""
+        return None if self.connection is None else self.connection.response_bytes()
+
     def finish(self, result: AttemptResult) -> None:
         """Ends the attempt with `result`, unless it has ended."""
         if not self.ended:
--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -34,6 +34,7 @@
     def __init__(self, data: bytes, on_ended: Callable[[AttemptResult], None]) -> None:
         self.data, self.on_ended, self.aborted, self.may_have_run = data, on_ended, False, True
         self.written = self.delivered = True
+        self.response_bytes: int | None = None
         self.on_stream_started: Callable[[AttemptResult], None] = lambda result: None
 
     def abort(self) -> bool:
