--- a/ingress_testbed/__main__.py
+++ b/ingress_testbed/__main__.py
@@ -9,16 +9,20 @@
 
 import click
 import msgspec
+import uvloop
 
 from ingress_testbed.experiments import ALL
 from ingress_testbed.results import Point, Result, ResultError, read
 from ingress_testbed.slopes import MIN_SIZES
+from ingress_testbed.slow_peers import run as slow_peers_run
+from ingress_testbed.slow_peers.judge import judge as judge_slow_peers
 from ingress_testbed.soak import run as soak_run
 from ingress_testbed.soak.judge import figures, judge
 from ingress_testbed.sweep import ProgramError, Sweep, SweepInterruptedError, play
 from ingress_testbed.worker import WorkerError
 
 INTERRUPTED_EXIT_CODE = 130
+MAX_EXAMPLE_LENGTH = 900  # characters
 
 
 @click.group(help=__doc__)
@@ -151,10 +155,7 @@
         failed_runs += bool(violations)
         totals = "  ".join(f"{name} {value:g}" for name, value in sorted(figures(run).items()))
         click.echo(f"seed {number}: {len(violations)} violations  {totals}")
-        for rule, count in Counter(rule for rule, _ in violations).items():
-            click.echo(
-                f"  {rule}: {count}, for example {next(why for r, why in violations if r == rule)[:900]}"
-            )
+        _print_violations(violations)
         for problem in problems:
             click.echo(f"  error of the run itself: {problem}")
         if out:
@@ -163,6 +164,42 @@
     sys.exit(1 if failed_runs else 0)
 
 
+@main.command("slow-peers")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option(
+    "--runs", type=click.IntRange(1), default=1, show_default=True, help="with seeds from --seed on"
+)
+@click.option("--seconds", type=click.FloatRange(1), default=8.0, show_default=True)
+@click.option(
+    "--logs",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="a folder for the ingress's log, with each event",
+)
+def slow_peers(seed: int, runs: int, seconds: float, logs: Path | None) -> None:
+    """Runs a real ingress among slow clients and backends; exit code 1 if a rule is broken."""
+    failed_runs = 0
+    for number in range(seed, seed + runs):
+        scenario, record = uvloop.run(slow_peers_run.play(number, seconds, traces=logs is not None))
+        violations = judge_slow_peers(record)
+        failed_runs += bool(violations)
+        statuses = Counter(call.status for call in record.calls)
+        click.echo(
+            f"seed {number}: {len(violations)} violations  {record.peak_mb:.1f} of {record.memory_mb} MB  "
+            f"statuses {dict(sorted(statuses.items()))}  late {record.lag:.2f} s  {scenario}"
+        )
+        _print_violations(violations)
+        if logs:
+            logs.mkdir(parents=True, exist_ok=True)
+            (logs / f"slow-peers-{number}.log").write_text("\n".join(record.log) + "\n")
+    sys.exit(1 if failed_runs else 0)
+
+
+def _print_violations(violations: list[tuple[str, str]]) -> None:
+    for rule, count in Counter(rule for rule, _ in violations).items():
+        example = next(why for r, why in violations if r == rule)
+        click.echo(f"  {rule}: {count}, for example {example[:MAX_EXAMPLE_LENGTH]}")
+
+
 def _print_point(point: Point, seconds: float) -> None:
     figures = "  ".join(f"{name} {value:.4g}" for name, value in point.figures.items())
     click.echo(f"size {point.size:g} ({seconds:.0f} s): {figures}")
