Pass on long answers that have begun when their time is up: 429 took their place

Callers saw 429 (504 at the deadline) in place of a long answer without a declared length that its server was still writing. Cause: an attempt was ended at the class's objective, and a request at its deadline, whatever had come of the response. An answer without a length was passed on only once 64 KiB had come, one with a length once its first body byte had. Of an answer over 64 KiB only the first bytes are timed. Change: when the time of an attempt or a request is up, also as the process ends, a good response that has begun and is long, or of unknown length, is streamed, unless nothing came for 2 s. What has come of one of unknown length is held back for 1.5 s at most. One that is still short 0.4 s past the client's deadline and has been silent for 1 s is truncated: a short one that hangs is due by then. Why it works: the client gets the first bytes in time, and no later limit applies to a response that is streamed and moves. Not taken: streaming each answer of unknown length at its first byte (gives up retries of broken short ones).

--- a/ingress_testbed/hollow.py
+++ b/ingress_testbed/hollow.py
@@ -54,6 +54,14 @@
         """Whether the backend has the whole request: from the start, as nothing is sent."""
         return True
 
+    def stream_response(self) -> bool:
+        """Returns False: no response is ever under way."""
+        return False
+
+    def end_if_hung(self) -> bool:
+        """Returns False: no response is ever streamed."""
+        return False
+
     def abort(self) -> bool:
         """Cancels the attempt; returns True, as the backend may have processed it."""
         self._timer.cancel()
--- a/ingress_testbed/slow_peers/backends.py
+++ b/ingress_testbed/slow_peers/backends.py
@@ -107,13 +107,13 @@
     parts = {Pattern.AT_ONCE: 1, Pattern.LUMPS: LUMPS}.get(answer.pattern, STEADY_PARTS)
     interval = (answer.seconds - pause) / parts if parts > 1 else 0.0
     for number in range(parts):
+        if writer.transport.is_closing():
+            raise EOFError
         part = bytes(answer.size * (number + 1) // parts - response.written)
         writer.write(b"%x\r\n%b\r\n" % (len(part), part) if answer.framing is Framing.CHUNKED else part)
         response.body_at = response.body_at or asyncio.get_running_loop().time()
         response.written += len(part)
         await writer.drain()
-        if writer.transport.is_closing():
-            raise EOFError
         await asyncio.sleep(interval)
     if answer.framing is Framing.CHUNKED:
         writer.write(b"0\r\n\r\n")
--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -21,6 +21,8 @@
 from quota_ingress.policy.settings import Idempotency, Settings
 
 RESPONSE_MARGIN = 15_000  # us; attempts time out this long before the client's deadline
+LATE_ANSWER_TIME = 400_000  # us past the client's deadline; it waits for 500 ms
+HUNG_CHECK_INTERVAL_S = 0.1
 US_PER_SECOND = 1e6
 
 
@@ -112,6 +114,10 @@
                     attempt.exchange.abort()
                 self.end(request, attempt, AttemptResult(Outcome.CANCELLED))
 
+    def stream_begun_response(self, request: Request) -> bool:
+        """Streams a response that an attempt has begun and that may be long. Returns whether there is one."""
+        return any(attempt.exchange and attempt.exchange.stream_response() for attempt in _in_flight(request))
+
     def abort_waiting_for_body(self, request: Request) -> None:
         """Cancels the attempts that wait for the rest of a request body that will not be received."""
         for attempt in _in_flight(request):
@@ -224,11 +230,20 @@
                 attempt.exchange.abort()
             self.end(request, attempt, AttemptResult(Outcome.CANCELLED))
             return
+        now = self._now()
         attempt.latency = self._latency(request, attempt)
         self._event_log.event("ended", "served", id=request.parsed.id)
         self._owner.mark_answered(request)
         self._owner.post(StreamStarted(request.number, attempt.number, attempt.backend, attempt.latency))
         request.client.stream_response(result)
+        if result.stream and result.stream.declared_length is None:
+            delay = max(0, request.deadline - now + LATE_ANSWER_TIME) / US_PER_SECOND
+            attempt.timer = self._loop.call_later(delay, self._end_if_hung, attempt)
+
+    def _end_if_hung(self, attempt: Attempt) -> None:
+        """Truncates a response whose backend has hung before it was long: a short one is due by now."""
+        if attempt.exchange and attempt.exchange.end_if_hung():
+            attempt.timer = self._loop.call_later(HUNG_CHECK_INTERVAL_S, self._end_if_hung, attempt)
 
     def _limit_delivery(self, request: Request, attempt: Attempt) -> None:
         """Starts the timer of the attempt's delivery deadline, if it has one."""
@@ -258,7 +273,8 @@
         self._abort(request, attempt, Outcome.TIMEOUT, outcome_if_unwritten=Outcome.NOT_SENT)
 
     def _on_timeout(self, request: Request, attempt: Attempt) -> None:
-        self._abort(request, attempt, Outcome.TIMEOUT)
+        if attempt.ended or not (attempt.exchange and attempt.exchange.stream_response()):
+            self._abort(request, attempt, Outcome.TIMEOUT)
 
     def _abort(
         self,
--- a/quota_ingress/net/engine/engine.py
+++ b/quota_ingress/net/engine/engine.py
@@ -236,7 +236,7 @@
         request.timer = self._loop.call_later(time_left / US_PER_SECOND, self._on_deadline, request)
 
     def _on_deadline(self, request: Request) -> None:
-        if request.answered:
+        if request.answered or self.attempt_runner.stream_begun_response(request):
             return
         reason = "process ending" if self.shutting_down else "out of time"
         self.event_log.event("ended", reason, id=request.parsed.id)
--- a/quota_ingress/net/engine/ports.py
+++ b/quota_ingress/net/engine/ports.py
@@ -53,6 +53,15 @@
     def response_bytes(self) -> int | None:
         """The number of body bytes of the response so far; None before the end of its head."""
 
+    def stream_response(self) -> bool:
+        """Streams a response that has begun and may be long. Returns whether it is being streamed."""
+
+    def end_if_hung(self) -> bool:
+        """Truncates a streamed response that is still short, if its backend has hung.
+
+        Returns whether that may still happen.
+        """
+
     def abort(self) -> bool:
         """Aborts the attempt. Returns whether it may have run: its last byte may have been written."""
 
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -27,6 +27,9 @@
 from quota_ingress.policy.events import Outcome
 
 FIELDS = frozenset({b"content-type", b"not-started", b"server-load"})  # of a response that are used
+MAX_RESPONSE_PAUSE_S = 2.0  # of a backend that is still at work when the time of its attempt is up
+SHORT_RESPONSE_STALL_S = 1.0  # instead, once the client's time is over and the response is not yet long
+MAX_HOLD_BACK_S = 1.5  # for which a response of unknown length is buffered; clients are owed it within 2 s
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
 
 log = logging.getLogger(__name__)
@@ -70,6 +73,7 @@
         self.idle_since = 0.0  # s of the loop's clock
         self.reused = False  # has carried a request before the current one
         self.closed = False
+        self._hold_back_timer: asyncio.TimerHandle | None = None  # of a response of unknown length
         self._write_paused = False
         self._read_paused = False
 
@@ -179,6 +183,7 @@
             with contextlib.suppress(OSError):
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.closed = True
+        self._stop_holding_back()
         self.owner.event_log.event("backend connection closed", reason.value, backend=self.owner.name)
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -237,6 +242,8 @@
         """Handles a response whose head is complete, or more of whose body has been received."""
         exchange = self.exchange
         body = message.body
+        if exchange:
+            exchange.last_progress_at = self.owner.now()
         if 100 <= message.status < 200 and exchange:
             return
         if self.stream is body and exchange:
@@ -250,6 +257,9 @@
         elif body.is_long:  # a long response that is not to be streamed
             result = AttemptResult(Outcome.ERROR) if message.status == 200 else _result_of(message)
             self.fail_exchange(UpstreamCloseReason.UNWANTED, result)
+        elif body.received and self._hold_back_timer is None and self._may_be_long(message):
+            loop = asyncio.get_running_loop()
+            self._hold_back_timer = loop.call_later(MAX_HOLD_BACK_S, self.stream_response)
 
     def protocol_error(self, error: FramingError) -> None:
         """Fails the attempt with ERROR: the backend is up and may have run the request."""
@@ -268,8 +278,50 @@
             self.owner.record_reuse(failed=True)
         self.fail_exchange(UpstreamCloseReason.BY_BACKEND)
 
+    def stream_response(self) -> bool:
+        """Streams a response that has begun and may be long. Returns whether it is being streamed.
+
+        To be called when the time of the attempt is up: only the first bytes of a long response are due then.
+        A backend that has sent nothing for MAX_RESPONSE_PAUSE_S counts as hung.
+        """
+        exchange = self.exchange
+        if self.stream is not None or exchange is None or exchange.on_stream_started is None:
+            return self.stream is not None
+        paused_s = self.owner.now() - exchange.last_progress_at
+        if paused_s > MAX_RESPONSE_PAUSE_S or not self._may_be_long(self.reader.message):
+            return False
+        self._start_stream(self.reader.message, exchange, exchange.on_stream_started)
+        return True
+
+    def end_if_hung(self) -> bool:
+        """Truncates a streamed response that is still short, if its backend has hung.
+
+        Returns whether that may still happen.
+        """
+        exchange, body = self.exchange, self.stream
+        if exchange is None or body is None or body.is_long:
+            return False
+        if self._read_paused or self.owner.now() - exchange.last_progress_at < SHORT_RESPONSE_STALL_S:
+            return True
+        self.fail_exchange(UpstreamCloseReason.STALLED)
+        return False
+
+    def _may_be_long(self, message: Message) -> bool:
+        """Returns whether `message` is a good response that has begun, and is long or of unknown length."""
+        body = message.body
+        return (
+            self.reader.is_in_body
+            and message.status == 200
+            and (body.declared_length is None or body.is_long)
+        )
+
+    def _stop_holding_back(self) -> None:
+        if self._hold_back_timer:
+            self._hold_back_timer.cancel()
+            self._hold_back_timer = None
+
     def _start_stream(self, message: Message, exchange: Exchange, on_started: ResultCallback) -> None:
-        exchange.last_progress_at = self.owner.now()
+        self._stop_holding_back()
         self.stream = message.body
         message.body.on_drained = self._apply_back_pressure
         result = _result_of(message)
@@ -278,7 +330,6 @@
         self._apply_back_pressure()
 
     def _continue_stream(self, message: Message, exchange: Exchange) -> None:
-        exchange.last_progress_at = self.owner.now()
         if message.body.complete:
             self._finish_response(message, exchange, AttemptResult(Outcome.OK))
         message.body.on_update()
@@ -287,6 +338,7 @@
     def _finish_response(self, message: Message, exchange: Exchange | None, result: AttemptResult) -> None:
         self.exchange = None
         self.stream = None
+        self._stop_holding_back()
         if self._read_paused:
             self._read_paused = False
             self.transport.resume_reading()
--- a/quota_ingress/net/upstream/exchange.py
+++ b/quota_ingress/net/upstream/exchange.py
@@ -33,6 +33,15 @@
     def is_delivered(self) -> bool:
         """Returns whether the backend's machine has acknowledged the whole request."""
 
+    def stream_response(self) -> bool:
+        """Streams a response that has begun and may be long. Returns whether it is being streamed."""
+
+    def end_if_hung(self) -> bool:
+        """Truncates a streamed response that is still short, if its backend has hung.
+
+        Returns whether that may still happen.
+        """
+
     def close(self, reason: UpstreamCloseReason) -> None:
         """Closes the connection at once; pending data is not sent."""
 
@@ -92,6 +101,17 @@
         """The number of body bytes of the response so far; None before the end of its head."""
         return None if self.connection is None else self.connection.response_bytes()
 
+    def stream_response(self) -> bool:
+        """Streams a response that has begun and may be long. Returns whether it is being streamed."""
+        return self.connection is not None and self.connection.stream_response()
+
+    def end_if_hung(self) -> bool:
+        """Truncates a streamed response that is still short, if its backend has hung.
+
+        Returns whether that may still happen.
+        """
+        return self.connection is not None and self.connection.end_if_hung()
+
     def finish(self, result: AttemptResult) -> None:
         """Ends the attempt with `result`, unless it has ended."""
         if not self.ended:
--- a/tests/support/fake_network.py
+++ b/tests/support/fake_network.py
@@ -37,6 +37,12 @@
         self.response_bytes: int | None = None
         self.on_stream_started: Callable[[AttemptResult], None] = lambda result: None
 
+    def stream_response(self) -> bool:
+        return False
+
+    def end_if_hung(self) -> bool:
+        return False
+
     def abort(self) -> bool:
         self.aborted = True
         return self.may_have_run
