Count a request's time from when its client may have written it, also while it is read

Callers saw final answers up to 8 s after their time where a body was read slowly, by a slow backend or by a busy process. Cause: the time of writing was taken from what the ingress sees. While a body up to 1 MB was read, no time ran at all; bytes that had waited counted from the last pause of reading; and a client's machine was taken to hold nothing back unless 64 KiB were unread within 0.1 s, though with small writes its kernel stops with 10 kB unread, and tries again only 0.2 s later. Class: a time taken where it can be seen. Change: WriteTime keeps the earliest time at which what is read next may have been written; it moves on only after a silence with room, 0.3 s after there was none, and between requests. A body is watched from its head on; when its time is over before it was read, it gets 429, as nothing was sent. Also: what may become long is told by its pace (ResponsePace); a short answer of unknown length that is late is truncated. Price: an honest client behind a slower backend is given no longer than its time, as before for 4 MiB.

--- a/ingress_testbed/hollow.py
+++ b/ingress_testbed/hollow.py
@@ -58,7 +58,7 @@
         """Returns False: no response is ever under way."""
         return False
 
-    def end_if_hung(self) -> bool:
+    def end_if_short(self) -> bool:
         """Returns False: no response is ever streamed."""
         return False
 
--- a/quota_ingress/net/downstream/body_arrival.py
+++ b/quota_ingress/net/downstream/body_arrival.py
@@ -6,12 +6,13 @@
 from collections import deque
 from typing import NamedTuple
 
-from quota_ingress.net.http import SOCKET_BUFFER_BYTES, Body
+from quota_ingress.net.downstream.write_time import FULL_SETTLE_US, ROOM_BYTES
+from quota_ingress.net.http import Body
 from quota_ingress.net.socket_state import unread_bytes
 
-BLOCKED_BYTES = SOCKET_BUFFER_BYTES // 2  # unread; with more, the client's machine may hold bytes back
+BLOCKED_BYTES = ROOM_BYTES  # unread; with more, the client's machine may hold bytes back
 CLIENT_BUFFER_BYTES = 4 * 1024 * 1024  # that a client's machine may hold back: Linux's largest send buffer
-SETTLE_US = 100_000  # after so long without BLOCKED_BYTES unread, nothing is held back
+SETTLE_US = FULL_SETTLE_US  # after so long without BLOCKED_BYTES unread, nothing is held back
 
 
 class Progress(NamedTuple):
@@ -62,7 +63,9 @@
         """Counts `size` bytes that have been read from the connection and parsed."""
         self._bytes_read += size
 
-    def check(self, transport: asyncio.Transport, now: int, paused: bool, unparsed: int = 0) -> int | None:
+    def check(
+        self, transport: asyncio.Transport, now: int, paused: bool, unparsed: int = 0, quiet_at: int = 0
+    ) -> int | None:
         """Returns the earliest time (us) at which the client may have written the last byte, still unread.
 
         None if it cannot have done so. While so much is unread that the client's machine may hold bytes back,
@@ -73,12 +76,16 @@
             now: The present time (us).
             paused: Reading was paused since the last check, so that bytes may have arrived at any time since.
             unparsed: Number of bytes that have been read from the connection and not been parsed.
+            quiet_at: When the client's machine last held back nothing (us), as the reads show.
         """
-        unread = unread_bytes(transport) + unparsed
-        if unread >= BLOCKED_BYTES:
+        self._unblocked_at = max(self._unblocked_at, quiet_at)
+        unread = unread_bytes(transport)
+        # With little room, the client's kernel may wait long before it sends more.
+        if unread >= BLOCKED_BYTES or (unread and self._may_be_blocked(now)):
             self._blocked_at = now
         elif not self._may_be_blocked(now):
             self._unblocked_at = now
+        unread += unparsed
         self._update(unread, self._checked_at if paused else now)
         self._checked_at = now
         if unread and self._bytes_missing in (None, self._bytes_arrived):
@@ -87,6 +94,10 @@
             return self._written_before(self._bytes_missing)
         return None
 
+    def is_blocked(self, now: int) -> bool:
+        """Whether the check at `now` has found that the client's machine may hold bytes back."""
+        return self._blocked_at == now
+
     def _may_be_blocked(self, now: int) -> bool:
         return self._blocked_at is not None and now - self._blocked_at < SETTLE_US
 
--- a/quota_ingress/net/downstream/client_input.py
+++ b/quota_ingress/net/downstream/client_input.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from quota_ingress.net.downstream.body_arrival import BodyArrival
+import asyncio
+
+from quota_ingress.net.downstream.body_arrival import SETTLE_US, BodyArrival
 from quota_ingress.net.downstream.drain_stage import DrainStage, drain_stage
 from quota_ingress.net.downstream.host import ConnectionHost
 from quota_ingress.net.downstream.input_queue import UnparsedInput
@@ -17,6 +19,7 @@
 PART_BYTES = 512  # parsed at once, outside of bodies of known length; a pipeline is bounded between parts
 TURN_BYTES = 4096  # parsed in one turn
 TURN_MESSAGES = 8  # begun in one turn
+SETTLE_CHECK_S = 1.1 * SETTLE_US / 1e6
 
 
 class ClientInput(HttpConnection, StagedConnection):
@@ -36,7 +39,9 @@
         self._read_flow = ReadFlow(queued_since)
         self._unparsed = UnparsedInput(host.memory_budget)
         self._turn_messages = 0  # begun in this turn
-        self._body_arrival: BodyArrival | None = None  # of the streamed body of the current request
+        self._body_arrival: BodyArrival | None = None  # of the body of the current request
+        self._body_written_at: int | None = None  # us, its last byte at the earliest; None: not yet
+        self._settle_timer: asyncio.TimerHandle | None = None
         self._accepted_at = 0
         self._message_started_at = 0
         self._last_data_at = 0
@@ -49,7 +54,10 @@
         """Parses the bytes, or discards them if the last response has been written."""
         if self in self._stages.lingering:
             return
-        self.reader.received_at = self._read_flow.arrival_time(self.transport, self._host.now())
+        all_read = len(data) < len(self.reader.budget.read_buffer())
+        self.reader.received_at = self._read_flow.record_read(
+            self.transport, self._host.now(), len(data), all_read
+        )
         self._unparsed.append(data)
         self._check_body_arrival(paused=False)
         self.parse_input()
@@ -162,14 +170,42 @@
 
     def _check_body_arrival(self, paused: bool = True) -> None:
         """Starts or stops the deadline of the current request, whose last byte may have been written."""
-        request_id, arrival = self._pipeline.engine_request_id, self._body_arrival
-        if arrival is None or request_id is None or self._pipeline.current_is_complete:
+        arrival = self._body_arrival
+        if arrival is None or self.transport.is_closing() or self._pipeline.current_is_complete:
             return
-        written_at = arrival.check(self.transport, self._host.now(), paused, len(self._unparsed))
+        now = self._host.now()
+        write_time = self._read_flow.write_time
+        unparsed = len(self._unparsed)
+        written_at = arrival.check(self.transport, now, paused, unparsed, write_time.since)
+        if arrival.is_blocked(now):
+            write_time.record_full(now)
+        self._body_written_at = written_at
+        if self._pipeline.engine_request_id is not None:
+            self._update_deadline(self._pipeline.engine_request_id, written_at)
+
+    def _update_deadline(self, request_id: bytes, written_at: int | None) -> None:
+        """Starts the deadline of a request if its last byte may have been written; else stops it."""
         if written_at is None:
             self._engine.on_body_missing(request_id)
-        else:
-            self._engine.on_body_arrived(request_id, written_at)
+            return
+        self._engine.on_body_arrived(request_id, written_at)
+        if not self._read_flow.paused and self._settle_timer is None:
+            self._settle_timer = asyncio.get_running_loop().call_later(SETTLE_CHECK_S, self._check_settled)
+
+    def _check_settled(self) -> None:
+        """Checks again once nothing may be on its way any more."""
+        self._settle_timer = None
+        if not self._read_flow.paused:
+            self._check_body_arrival(paused=False)
+
+    def is_out_of_time(self, now: int) -> bool:
+        """Whether the time of a request is over whose body is still being read, and may have been written."""
+        parsed = self._pipeline.parsed
+        if parsed is None or self._pipeline.engine_request_id is not None:
+            return False
+        self._check_body_arrival(paused=self._read_flow.paused)
+        written_at = self._body_written_at
+        return written_at is not None and now - written_at >= parsed.timeout
 
     @property
     def _in_head(self) -> bool:
--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -211,6 +211,11 @@
         """Sends 504 if the request timed out, else 502. The request may or may not have run."""
         self._write_response(504 if timed_out else 502, b"", b"failed\n")
 
+    def reject_out_of_time(self) -> None:
+        """Rejects a request whose time is over before its body has been read."""
+        self._engine.event_log.event("rejected", "no time left")
+        self.reject(0)
+
     def client_left(self) -> None:
         """Ends the connection, as the client has closed it while reading was paused."""
         self.abort(CloseReason.CLIENT_LEFT)
@@ -228,6 +233,7 @@
     def _start_next_request(self) -> None:
         message = self._pipeline.take_next()
         self._body_arrival = None
+        self._body_written_at = None
         self._keep_alive = message.keep_alive and (not self._over_limit or self._has_more_input())
         self._stages.start_request(self)
         if message.target.partition(b"?")[0] == HEALTH_CHECK_PATH:
@@ -252,6 +258,7 @@
         self._stages.accept_first_request(self)
         if not message.body.complete:
             self._stages.receiving_body.add(self)
+            self._body_arrival = BodyArrival(message.body, self.reader.received_at)
             if b"expect" in message.headers and not message.body.received and not message.is_http_1_0:
                 self._writer.write(self.transport, response.CONTINUE)
         return True
@@ -295,7 +302,6 @@
             parsed.head = encode_forwarded_head(message, parsed.id)
         elif not body.complete:
             body.on_drained = self._resume_reading_if_drained
-            self._body_arrival = BodyArrival(body, self._host.now())
         self._pipeline.engine_request_id = parsed.id
         if not self._engine.on_request(parsed, self):
             self._write_response(409, b"", b"a request with this Request-Id is under way\n")
@@ -379,6 +385,7 @@
             if self.reader.in_message:
                 self._stages.continue_head(self, now)
             else:
+                self._read_flow.write_time.restart(now)
                 self._stages.park_idle(self, now, self._host.max_idle)
         self._resume_reading_if_drained()
 
--- a/quota_ingress/net/downstream/read_flow.py
+++ b/quota_ingress/net/downstream/read_flow.py
@@ -1,11 +1,12 @@
-"""Pauses and resumes reading from a client, and determines when the data read arrived."""
+"""Pauses and resumes reading from a client, and determines when it may have written what is read."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
 
-from quota_ingress.net.socket_state import peer_has_closed, time_since_last_data_us, unread_bytes
+from quota_ingress.net.downstream.write_time import WriteTime
+from quota_ingress.net.socket_state import peer_has_closed, time_since_last_data_us
 
 PAUSE_CHECK_INTERVAL_S = 0.1  # while reading is paused
 
@@ -16,9 +17,10 @@
     Attributes:
         paused: Reading is paused for back-pressure.
         paused_at: Start of the last pause.
+        write_time: When the client may have written what is read.
     """
 
-    __slots__ = ("_catching_up", "_check_timer", "_queued_since", "paused", "paused_at")
+    __slots__ = ("_check_timer", "_is_first_read", "_queued_since", "paused", "paused_at", "write_time")
 
     def __init__(self, queued_since: int | None) -> None:
         """Starts unpaused.
@@ -27,24 +29,27 @@
         """
         self._queued_since = queued_since
         self._check_timer: asyncio.TimerHandle | None = None  # while reading is, or recently was, paused
-        self._catching_up = False  # data that arrived during a pause has not all been read
+        self._is_first_read = True
+        self.write_time = WriteTime()
         self.paused = False
         self.paused_at = 0
 
-    def arrival_time(self, transport: asyncio.Transport, now: int) -> int:
-        """Returns the earliest time at which the data just read may have arrived at this machine.
+    def record_read(self, transport: asyncio.Transport, now: int, size: int, all_read: bool) -> int:
+        """Returns the earliest time at which the client may have written the `size` bytes just read.
 
-        The data may have waited while reading was paused, or until the connection was accepted.
+        They may have waited while reading was paused, until the connection was accepted, or on the client's
+        machine. `all_read`: the read found no further bytes.
         """
-        if self._catching_up:
-            self._catching_up = unread_bytes(transport) > 0
-            return self.paused_at
+        if self._is_first_read:
+            self._is_first_read = False
+            self.write_time.start(self._first_arrival(transport, now))
+        self.write_time.record_read(now, size, all_read, lambda: _last_arrival(transport, now))
+        return self.write_time.since
+
+    def _first_arrival(self, transport: asyncio.Transport, now: int) -> int:
         if self._queued_since is None:
             return now
-        earliest = self._queued_since
-        self._queued_since = None
-        age = time_since_last_data_us(transport)
-        return earliest if age is None else max(earliest, now - age)
+        return max(self._queued_since, _last_arrival(transport, now, default=self._queued_since))
 
     def pause(
         self,
@@ -60,14 +65,14 @@
         """
         self.paused = True
         self.paused_at = now
+        self.write_time.record_pause(now)
         transport.pause_reading()
         if self._check_timer is None:
             self._schedule_check(transport, on_client_left, on_check)
 
     def resume(self, transport: asyncio.Transport) -> None:
-        """Resumes reading; data that is unread now is dated to the start of the pause."""
+        """Resumes reading."""
         self.paused = False
-        self._catching_up = True
         transport.resume_reading()
 
     def _schedule_check(
@@ -89,3 +94,9 @@
         else:
             on_check()
             self._schedule_check(transport, on_client_left, on_check)
+
+
+def _last_arrival(transport: asyncio.Transport, now: int, default: int = 0) -> int:
+    """Returns when (us) data was last received; `default` if the kernel does not tell."""
+    age = time_since_last_data_us(transport)
+    return default if age is None else now - age
--- a/quota_ingress/net/downstream/stages.py
+++ b/quota_ingress/net/downstream/stages.py
@@ -39,6 +39,12 @@
     def close_if_idle(self, reason: CloseReason = CloseReason.IDLE) -> bool:
         """Closes the connection unless a request is open or unread. Returns whether it was closed."""
 
+    def is_out_of_time(self, now: int) -> bool:
+        """Whether the time of a request is over whose body is still being read, and may have been written."""
+
+    def reject_out_of_time(self) -> None:
+        """Rejects a request whose time is over before its body has been read."""
+
     def evict_incomplete(self) -> None:
         """Closes the connection in the middle of a request."""
 
--- a/quota_ingress/net/downstream/timeouts.py
+++ b/quota_ingress/net/downstream/timeouts.py
@@ -29,6 +29,8 @@
         connection.close_if_idle()
     for connection in [c for c in stages.receiving_body if c.is_too_slow(now)]:
         connection.reject_unreadable(REQUEST_TIMEOUT_STATUS)
+    for connection in [c for c in stages.receiving_body if c.is_out_of_time(now)]:
+        connection.reject_out_of_time()
     for connection in entered_before(stages.lingering, now - int(LINGER_TIMEOUT_S * US_PER_S)):
         connection.abort(CloseReason.LINGER_TIMEOUT)
     _abort_unread(stages, now)
--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -22,7 +22,7 @@
 
 RESPONSE_MARGIN = 15_000  # us; attempts time out this long before the client's deadline
 LATE_ANSWER_TIME = 400_000  # us past the client's deadline; it waits for 500 ms
-HUNG_CHECK_INTERVAL_S = 0.1
+LATE_CHECK_INTERVAL_S = 0.1
 US_PER_SECOND = 1e6
 
 
@@ -238,12 +238,12 @@
         request.client.stream_response(result)
         if result.stream and result.stream.declared_length is None:
             delay = max(0, request.deadline - now + LATE_ANSWER_TIME) / US_PER_SECOND
-            attempt.timer = self._loop.call_later(delay, self._end_if_hung, attempt)
+            attempt.timer = self._loop.call_later(delay, self._end_if_short, attempt)
 
-    def _end_if_hung(self, attempt: Attempt) -> None:
-        """Truncates a response whose backend has hung before it was long: a short one is due by now."""
-        if attempt.exchange and attempt.exchange.end_if_hung():
-            attempt.timer = self._loop.call_later(HUNG_CHECK_INTERVAL_S, self._end_if_hung, attempt)
+    def _end_if_short(self, attempt: Attempt) -> None:
+        """Truncates a response that is not going to be long: a short one is due by now."""
+        if attempt.exchange and attempt.exchange.end_if_short():
+            attempt.timer = self._loop.call_later(LATE_CHECK_INTERVAL_S, self._end_if_short, attempt)
 
     def _limit_delivery(self, request: Request, attempt: Attempt) -> None:
         """Starts the timer of the attempt's delivery deadline, if it has one."""
--- a/quota_ingress/net/engine/ports.py
+++ b/quota_ingress/net/engine/ports.py
@@ -56,11 +56,8 @@
     def stream_response(self) -> bool:
         """Streams a response that has begun and may be long. Returns whether it is being streamed."""
 
-    def end_if_hung(self) -> bool:
-        """Truncates a streamed response that is still short, if its backend has hung.
-
-        Returns whether that may still happen.
-        """
+    def end_if_short(self) -> bool:
+        """Truncates a streamed response that is short, as it is late. Returns whether that is still open."""
 
     def abort(self) -> bool:
         """Aborts the attempt. Returns whether it may have run: its last byte may have been written."""
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -24,11 +24,10 @@
 from quota_ingress.net.socket_state import unacknowledged_bytes
 from quota_ingress.net.upstream.close_reason import UpstreamCloseReason
 from quota_ingress.net.upstream.exchange import Exchange, ResultCallback
+from quota_ingress.net.upstream.response_pace import ResponsePace
 from quota_ingress.policy.events import Outcome
 
 FIELDS = frozenset({b"content-type", b"not-started", b"server-load"})  # of a response that are used
-MAX_RESPONSE_PAUSE_S = 2.0  # of a backend that is still at work when the time of its attempt is up
-SHORT_RESPONSE_STALL_S = 1.0  # instead, once the client's time is over and the response is not yet long
 MAX_HOLD_BACK_S = 1.5  # for which a response of unknown length is buffered; clients are owed it within 2 s
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
 
@@ -73,6 +72,7 @@
         self.idle_since = 0.0  # s of the loop's clock
         self.reused = False  # has carried a request before the current one
         self.closed = False
+        self._pace = ResponsePace(0.0)  # of the current response
         self._hold_back_timer: asyncio.TimerHandle | None = None  # of a response of unknown length
         self._write_paused = False
         self._read_paused = False
@@ -100,6 +100,7 @@
         exchange.connection = self
         self.reader.expects_no_body = exchange.head.startswith(b"HEAD ")
         exchange.last_progress_at = self.owner.now()
+        self._pace = ResponsePace(exchange.last_progress_at)
         try:
             sent = self.sock.send(data)
         except BlockingIOError:
@@ -244,6 +245,7 @@
         body = message.body
         if exchange:
             exchange.last_progress_at = self.owner.now()
+            self._pace.record(exchange.last_progress_at, body.received)
         if 100 <= message.status < 200 and exchange:
             return
         if self.stream is body and exchange:
@@ -282,26 +284,21 @@
         """Streams a response that has begun and may be long. Returns whether it is being streamed.
 
         To be called when the time of the attempt is up: only the first bytes of a long response are due then.
-        A backend that has sent nothing for MAX_RESPONSE_PAUSE_S counts as hung.
         """
         exchange = self.exchange
         if self.stream is not None or exchange is None or exchange.on_stream_started is None:
             return self.stream is not None
-        paused_s = self.owner.now() - exchange.last_progress_at
-        if paused_s > MAX_RESPONSE_PAUSE_S or not self._may_be_long(self.reader.message):
+        if not (self._may_be_long(self.reader.message) and self._pace.is_at_work(self.owner.now())):
             return False
         self._start_stream(self.reader.message, exchange, exchange.on_stream_started)
         return True
 
-    def end_if_hung(self) -> bool:
-        """Truncates a streamed response that is still short, if its backend has hung.
-
-        Returns whether that may still happen.
-        """
-        exchange, body = self.exchange, self.stream
-        if exchange is None or body is None or body.is_long:
+    def end_if_short(self) -> bool:
+        """Truncates a streamed response that is short, as it is late. Returns whether that is still open."""
+        body = self.stream
+        if body is None or body.is_long:
             return False
-        if self._read_paused or self.owner.now() - exchange.last_progress_at < SHORT_RESPONSE_STALL_S:
+        if self._read_paused or self._pace.may_become_long(self.owner.now(), body.received):
             return True
         self.fail_exchange(UpstreamCloseReason.STALLED)
         return False
--- a/quota_ingress/net/upstream/exchange.py
+++ b/quota_ingress/net/upstream/exchange.py
@@ -36,11 +36,8 @@
     def stream_response(self) -> bool:
         """Streams a response that has begun and may be long. Returns whether it is being streamed."""
 
-    def end_if_hung(self) -> bool:
-        """Truncates a streamed response that is still short, if its backend has hung.
-
-        Returns whether that may still happen.
-        """
+    def end_if_short(self) -> bool:
+        """Truncates a streamed response that is short, as it is late. Returns whether that is still open."""
 
     def close(self, reason: UpstreamCloseReason) -> None:
         """Closes the connection at once; pending data is not sent."""
@@ -105,12 +102,9 @@
         """Streams a response that has begun and may be long. Returns whether it is being streamed."""
         return self.connection is not None and self.connection.stream_response()
 
-    def end_if_hung(self) -> bool:
-        """Truncates a streamed response that is still short, if its backend has hung.
-
-        Returns whether that may still happen.
-        """
-        return self.connection is not None and self.connection.end_if_hung()
+    def end_if_short(self) -> bool:
+        """Truncates a streamed response that is short, as it is late. Returns whether that is still open."""
+        return self.connection is not None and self.connection.end_if_short()
 
     def finish(self, result: AttemptResult) -> None:
         """Ends the attempt with `result`, unless it has ended."""
--- a/tests/test_arrival_time.py
+++ b/tests/test_arrival_time.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from quota_ingress.net.downstream.pipeline import RequestPipeline
 from quota_ingress.policy.events import RequestArrived
 from tests.net_helpers import HOST, OK, Ingress, PeerServer, Script, request, send_first, single_endpoint_list
 from tests.support.streaming import save
@@ -129,3 +130,24 @@
         assert await forwarded_timeout(backend, "r0") <= TIMEOUT - (time.monotonic() - sent_at) + SLACK
         ingress.stop()
         writer.close()
+
+
+@pytest.mark.parametrize("framing", ["Content-Length: 400000", "Transfer-Encoding: chunked"])
+async def test_a_request_whose_body_is_read_late_is_answered_in_its_time(
+    ingress: Ingress, backend: PeerServer, monkeypatch: pytest.MonkeyPatch, framing: str
+) -> None:
+    """Guards against a late answer: no time ran while a body was read that its client had written."""
+    monkeypatch.setattr(RequestPipeline, "is_drained", lambda pipeline: False)
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    body = b"61a80\r\n%b\r\n0\r\n\r\n" if "chunked" in framing else b"%b"
+    data = save(framing, timeout="500m") + body % bytes(400_000)
+    writer.write(data[:1000])
+    async with asyncio.timeout(0.5 + ALLOWED_LATE):
+        while not ingress.listener.stages.receiving_body:
+            await asyncio.sleep(0.001)
+        (connection,) = ingress.listener.connections
+        connection._pause_reading()
+        writer.write(data[1000:])
+        assert b" 429 " in await reader.readline()
+    assert not backend.peers
+    writer.close()
