--- a/tests/test_input_queue.py
+++ b/tests/test_input_queue.py
@@ -24,18 +24,23 @@
 INVALID_REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 
 
-def send_much(flooding: socket.socket, head: bytes, data: bytes) -> None:
-    """Sends `data` over and over, and drops what is received, until the connection ends."""
-    flooding.setblocking(False)
+def send_much(port: int, head: bytes, data: bytes, stop: threading.Event) -> None:
+    """Sends `data` over and over, and drops what is received, on a new connection when one ends."""
+    while not stop.is_set():
+        with contextlib.suppress(OSError), socket.create_connection((HOST, port)) as flooding:
+            flooding.setblocking(False)
+            send_until_closed(flooding, head, data, stop)
+
+
+def send_until_closed(flooding: socket.socket, head: bytes, data: bytes, stop: threading.Event) -> None:
     unsent = head
-    with contextlib.suppress(OSError):
-        while True:
-            unsent = unsent or data * (READ_BYTES // len(data))
-            readable, writable, _ = select.select([flooding], [flooding], [])
-            if writable:
-                unsent = unsent[flooding.send(unsent) :]
-            if readable and not flooding.recv(READ_BYTES):
-                return
+    while not stop.is_set():
+        unsent = unsent or data * (READ_BYTES // len(data))
+        readable, writable, _ = select.select([flooding], [flooding], [], 0.1)
+        if writable:
+            unsent = unsent[flooding.send(unsent) :]
+        if readable and not flooding.recv(READ_BYTES):
+            return
 
 
 @pytest.mark.parametrize("data", [HEALTH_CHECK, INVALID_REQUEST, request(X_Plan="tin"), b"1\r\nx\r\n"])
@@ -54,9 +59,10 @@
     monkeypatch.setattr(MessageReader, "feed", count)
     reader, writer = await asyncio.open_connection(HOST, ingress.port)
     head = save("Transfer-Encoding: chunked") if data.startswith(b"1") else b""
-    with socket.create_connection((HOST, ingress.port)) as flooding:
-        flood = threading.Thread(target=send_much, args=(flooding, head, data))
-        flood.start()
+    stop = threading.Event()
+    flood = threading.Thread(target=send_much, args=(ingress.port, head, data, stop))
+    flood.start()
+    try:
         async with asyncio.timeout(10):
             while parsed < 4 * READ_BYTES:
                 await asyncio.sleep(0.001)
@@ -64,7 +70,8 @@
         writer.write(HEALTH_CHECK)
         assert (await read_response(reader)).startswith(b"HTTP/1.1 200 ")
         assert parsed - before < READ_BYTES // 2
-        flooding.shutdown(socket.SHUT_RDWR)
+    finally:
+        stop.set()
         flood.join()
     writer.close()
 
