Halve the memory budget during an upgrade, as the descriptors are

Cause, found by looking for the same mistake: two processes of an upgrade share one memory limit, and each used what it allows to one, as the budget was told only of its own process. Change: MemoryBudget.set_shared, called where the descriptors are halved (share_limits). Two real processes at a limit were not played; with 32 MB two idle ones hold 32 MB together (16 each), which no budget can mend.

--- a/quota_ingress/net/http/memory_budget.py
+++ b/quota_ingress/net/http/memory_budget.py
@@ -25,13 +25,23 @@
 
     def __init__(self, memory_limit_mb: float = 1024.0) -> None:
         """Derives the capacity from `memory_limit_mb`, the memory limit of the process."""
-        spare_mb = memory_limit_mb - PROCESS_MEMORY_MB
-        budget_mb = min(MAX_BUDGET_MB, max(MIN_BUDGET_MB, BUDGET_FRACTION * spare_mb))
-        self.capacity = int(BYTES_PER_MB * budget_mb)
+        self._memory_limit_mb = memory_limit_mb
+        self.capacity = 0
         self.used = 0
         self.connection_bytes = 0
-        self._refusal_limit = int(BYTES_PER_MB * max(2 * budget_mb, REFUSAL_FRACTION * spare_mb))
+        self._refusal_limit = 0
         self._read_buffer = memoryview(bytearray(READ_BYTES))
+        self._allocate(memory_limit_mb)
+
+    def set_shared(self, shared: bool) -> None:
+        """Halves the budget while another process of this ingress holds memory under the same limit."""
+        self._allocate(self._memory_limit_mb / 2 if shared else self._memory_limit_mb)
+
+    def _allocate(self, limit_mb: float) -> None:
+        spare_mb = limit_mb - PROCESS_MEMORY_MB
+        budget_mb = min(MAX_BUDGET_MB, max(MIN_BUDGET_MB, BUDGET_FRACTION * spare_mb))
+        self.capacity = int(BYTES_PER_MB * budget_mb)
+        self._refusal_limit = int(BYTES_PER_MB * max(2 * budget_mb, REFUSAL_FRACTION * spare_mb))
 
     @property
     def is_exhausted(self) -> bool:
--- a/quota_ingress/net/lifecycle/upgrade.py
+++ b/quota_ingress/net/lifecycle/upgrade.py
@@ -70,7 +70,7 @@
     def mark_request_ids_used(self, request_ids: Sequence[bytes]) -> None:
         """Marks the ids of the other process's requests as in use."""
 
-    def share_descriptors(self, with_other: bool) -> None:
+    def share_limits(self, with_other: bool) -> None:
         """Uses half of the descriptors if `with_other`, as the limit is for both processes; else all."""
 
     def on_successor_lost(self) -> None:
@@ -114,7 +114,7 @@
             log.info("upgrade: no serving process found: %s", error)
             return False
         self._channel = channel
-        self._participant.share_descriptors(with_other=True)
+        self._participant.share_limits(with_other=True)
         found = await self._ask(Question.HELLO, self._restore_state) is not None
         self._other_has_list = found
         return found
@@ -213,14 +213,14 @@
         self._channel = None
         self._other_has_list = False
         self._other_needs_ids = False
-        self._participant.share_descriptors(with_other=False)
+        self._participant.share_limits(with_other=False)
         if self._has_handed_over:
             self._has_handed_over = False
             self._participant.on_successor_lost()
             self.listen_for_successor()  # the successor may have replaced the socket at the shared path
 
     def _answer_hello(self, channel: UpgradeChannel) -> Document:
-        self._participant.share_descriptors(with_other=True)
+        self._participant.share_limits(with_other=True)
         for entries in self._participant.list_parts():
             channel.send(ListPart(entries))
         self._other_has_list = True
--- a/quota_ingress/net/lifecycle/upgrade_process.py
+++ b/quota_ingress/net/lifecycle/upgrade_process.py
@@ -123,9 +123,10 @@
         """Marks request ids of the other process as in use: a request with one of them is a duplicate."""
         self._parts.engine.mark_ids_used(request_ids)
 
-    def share_descriptors(self, with_other: bool) -> None:
-        """Halves this process's descriptors while another process runs; restores them afterwards."""
+    def share_limits(self, with_other: bool) -> None:
+        """Halves this process's descriptors and memory while another process runs."""
         self._parts.descriptors.set_shared(with_other)
+        self._parts.listener.memory_budget.set_shared(with_other)
         self._parts.listener.hard_limit = self._parts.descriptors.client_hard_limit
 
     def on_successor_lost(self) -> None:
--- a/quota_ingress/net/upstream/response_pace.py
+++ b/quota_ingress/net/upstream/response_pace.py
@@ -9,6 +9,7 @@
 MAX_SILENCE_S = 2.0  # of a backend that is still at work when the time of its attempt is up
 LATE_MAX_SILENCE_S = 1.0  # instead, in a body, once the client's time is over
 LATE_MIN_BYTES_PER_S = 16_000  # then, on the average since the first byte
+PACE_SPAN_S = 1.0  # from the first byte; a shorter one tells little about the pace
 
 
 class ResponsePace:
@@ -36,4 +37,5 @@
             return self.is_at_work(now)
         if now - self.last_progress_at > LATE_MAX_SILENCE_S:
             return False
-        return received >= LATE_MIN_BYTES_PER_S * (now - self._body_began_at)
+        elapsed_s = now - self._body_began_at
+        return elapsed_s < PACE_SPAN_S or received >= LATE_MIN_BYTES_PER_S * elapsed_s
