Reset the connection of an HTTP/1.0 client whose response is truncated

Callers with HTTP/1.0 took a truncated response of unknown length for a whole one: it ends with the connection, and that was closed in order. Found by looking for related faults of long answers: more of them are streamed now before they are whole. Cause: the end of a stream was left to the framing, and such a response has none. Change: the connection is reset; the option stands once, in socket_state, for both sides. Measured: the new test failed before (read to the end without an error) and passes.

--- a/quota_ingress/net/downstream/connection.py
+++ b/quota_ingress/net/downstream/connection.py
@@ -26,7 +26,7 @@
     Message,
     limit_socket_buffers,
 )
-from quota_ingress.net.socket_state import peer_has_closed, unread_bytes
+from quota_ingress.net.socket_state import peer_has_closed, reset_on_close, unread_bytes
 
 HEALTH_CHECK_PATH = b"/up"
 
@@ -366,7 +366,9 @@
 
     def _forward_response_body(self) -> None:
         state = self._writer.forward(self.transport)
-        if state is StreamState.TRUNCATED:  # the client detects the missing last byte or chunk
+        if state is StreamState.TRUNCATED:  # the client detects the missing last byte or chunk, or the reset
+            if self._writer.is_delimited_by_close:
+                reset_on_close(self.transport.get_extra_info("socket"))
             self.abort(CloseReason.RESPONSE_TRUNCATED)
         elif state is StreamState.COMPLETE:
             self._pipeline.engine_request_id = None
--- a/quota_ingress/net/downstream/response_writer.py
+++ b/quota_ingress/net/downstream/response_writer.py
@@ -82,6 +82,11 @@
                 return StreamState.COMPLETE
         return StreamState.WAITING
 
+    @property
+    def is_delimited_by_close(self) -> bool:
+        """Whether the end of the connection is the only sign that the streamed body is complete."""
+        return self.body is not None and self.body.declared_length is None and not self.body.chunked
+
     def release_body(self) -> None:
         """Frees the body being streamed, if any."""
         body = self.body
--- a/quota_ingress/net/socket_state.py
+++ b/quota_ingress/net/socket_state.py
@@ -1,8 +1,9 @@
-"""Queries the kernel for connection state that the event loop has not read yet."""
+"""Queries the kernel for connection state that the event loop has not read yet, and sets how sockets end."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import select
 import socket
@@ -13,6 +14,7 @@
 TCP_INFO_SND_WND = 228  # offset in bytes of `tcpi_snd_wnd`, since Linux 5.4
 UINT32_BYTES = 4
 US_PER_MS = 1000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
 
 
 def unread_bytes(transport: asyncio.Transport) -> int:
@@ -46,6 +48,12 @@
     return bool(poll.poll(0))
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Makes the kernel reset the connection when it is closed, and send nothing more; ignores failures."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _tcp_info(transport: asyncio.Transport, offset: int) -> int | None:
     """Returns the 32-bit field of `tcp_info` at `offset` (bytes); None if the kernel does not provide it."""
     try:
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -6,7 +6,6 @@
 import contextlib
 import logging
 import socket
-import struct
 from collections.abc import Callable
 from typing import Protocol
 
@@ -20,7 +19,7 @@
     Message,
     ResponseReader,
 )
-from quota_ingress.net.socket_state import unacknowledged_bytes
+from quota_ingress.net.socket_state import reset_on_close, unacknowledged_bytes
 from quota_ingress.net.upstream.close_reason import UpstreamCloseReason
 from quota_ingress.net.upstream.exchange import Exchange, ResultCallback
 from quota_ingress.net.upstream.response_pace import ResponsePace
@@ -29,7 +28,6 @@
 FIELDS = frozenset({b"content-type", b"not-started", b"server-load"})  # of a response that are used
 UNBUFFERED_BYTES = 4 * 1024  # of a response; beyond them it is streamed while no memory is left
 MAX_HOLD_BACK_S = 1.5  # for which a response of unknown length is buffered; clients are owed it within 2 s
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0 s
 
 log = logging.getLogger(__name__)
 
@@ -176,8 +174,7 @@
         if self.closed:
             return
         if self.exchange and not self.transport.is_closing() and not self.is_delivered():
-            with contextlib.suppress(OSError):
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(self.sock)
         self.closed = True
         self._stop_holding_back()
         self.owner.event_log.event("backend connection closed", reason.value, backend=self.owner.name)
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -97,6 +97,21 @@
     writer.close()
 
 
+async def test_an_http_1_0_client_can_detect_a_truncated_response(pair: IngressAndBackend) -> None:
+    """Guards against a truncated response that looks complete, as its end is that of the connection."""
+    reader, writer = await pair.connect(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+    peer = await pair.wait_for_data()
+    peer.transport.write(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n" + MEGABYTE[:300_000]
+    )
+    async with asyncio.timeout(10):
+        assert b"Content-Length" not in await reader.readuntil(b"\r\n\r\n")
+        peer.transport.abort()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+    writer.close()
+
+
 @pytest.mark.parametrize("framing", [b"Content-Length: 1048576", b"Transfer-Encoding: chunked"])
 async def test_clients_can_detect_a_truncated_response(pair: IngressAndBackend, framing: bytes) -> None:
     reader, writer = await pair.connect(request())
