End short answers soon after their time where they are streamed for lack of memory

Callers could get a short answer seconds after its time. Change: every streamed response that is not long is ended 0.4 s past the client's deadline if its length is short, or its pace over 0.5 s is too low.

--- a/quota_ingress/net/engine/attempt_runner.py
+++ b/quota_ingress/net/engine/attempt_runner.py
@@ -236,7 +236,7 @@
         self._owner.mark_answered(request)
         self._owner.post(StreamStarted(request.number, attempt.number, attempt.backend, attempt.latency))
         request.client.stream_response(result)
-        if result.stream and result.stream.declared_length is None:
+        if result.stream and not result.stream.is_long:
             delay = max(0, request.deadline - now + LATE_ANSWER_TIME) / US_PER_SECOND
             attempt.timer = self._loop.call_later(delay, self._end_if_short, attempt)
 
--- a/quota_ingress/net/upstream/connection.py
+++ b/quota_ingress/net/upstream/connection.py
@@ -290,7 +290,9 @@
         body = self.stream
         if body is None or body.is_long:
             return False
-        if self._read_paused or self._pace.may_become_long(self.owner.now(), body.received):
+        has_short_length = body.declared_length is not None
+        may_become_long = not has_short_length and self._pace.may_become_long(self.owner.now(), body.received)
+        if self._read_paused or may_become_long:
             return True
         self.fail_exchange(UpstreamCloseReason.STALLED)
         return False
--- a/quota_ingress/net/upstream/response_pace.py
+++ b/quota_ingress/net/upstream/response_pace.py
@@ -9,7 +9,7 @@
 MAX_SILENCE_S = 2.0  # of a backend that is still at work when the time of its attempt is up
 LATE_MAX_SILENCE_S = 1.0  # instead, in a body, once the client's time is over
 LATE_MIN_BYTES_PER_S = 16_000  # then, on the average since the first byte
-PACE_SPAN_S = 1.0  # from the first byte; a shorter one tells little about the pace
+PACE_SPAN_S = 0.5  # from the first byte; a shorter one tells little about the pace
 
 
 class ResponsePace:
--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -161,3 +161,22 @@
     pace.record(12.1, 60_000)
     assert pace.may_become_long(13.1, 60_000) and not pace.may_become_long(13.2, 60_000)
     assert pace.is_at_work(14.1) and not pace.is_at_work(14.2)
+
+
+async def test_a_short_response_that_is_streamed_for_lack_of_memory_ends_soon_after_its_time(
+    pair: IngressAndBackend,
+) -> None:
+    """Guards against short answers that end seconds late, as they were streamed when no memory was left."""
+    budget = pair.ingress.backends._options.budget
+    budget.used += 1_000_000_000
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(PART)
+    reader, writer, peer = await begin_response(pair, head + PART[:8_000])
+    async with asyncio.timeout(0.3 + 0.5):
+        with contextlib.suppress(ConnectionError):
+            received = await reader.read(1000)
+            while more := await reader.read(10_000):
+                received += more
+                peer.transport.write(PART[:1])
+    assert received.startswith(b"HTTP/1.1 200 ") and len(received) < len(PART)
+    budget.used -= 1_000_000_000
+    writer.close()
