--- a/quota_ingress/net/downstream/body_arrival.py
+++ b/quota_ingress/net/downstream/body_arrival.py
@@ -1,4 +1,4 @@
-"""Determines when the client may have written the last byte of a streamed request body."""
+"""Determines when the client may have written the last byte of a request body."""
 
 from __future__ import annotations
 
@@ -23,11 +23,11 @@
 
 
 class BodyArrival:
-    """The arrival of one streamed body.
+    """The arrival of one body.
 
-    Reading pauses while the backend accepts no more, so the last byte may wait for long, in the socket or in
-    that of the client, which has written it: the time of the request counts from then. It may be the last
-    byte that has come so far, until another one comes.
+    Reading pauses while the backend accepts no more, or while others are read, so the last byte may wait for
+    long, in the socket or in that of the client, which has written it: the time of the request counts from
+    then. It may be the last byte that has come so far, until another one comes.
 
     Attributes:
         written_at: The earliest time (us) at which the client may have written the last byte that has come so
--- a/quota_ingress/net/downstream/write_time.py
+++ b/quota_ingress/net/downstream/write_time.py
@@ -10,9 +10,7 @@
 
 SETTLE_US = 10_000  # in which bytes arrive that a client's machine has held back, once there is room for them
 FULL_SETTLE_US = 300_000  # instead, after there was no room: its kernel may try again only then
-ROOM_BYTES = (
-    16 * 1024
-)  # room that this machine always offers, also where each small write takes up much of it
+ROOM_BYTES = 16 * 1024  # that this machine always offers, also where small writes take up much of it
 
 
 class WriteTime:
