Tests of slow responses: write a byte each 10 ms, not as fast as the loop turns

Its backend wrote a byte for each one that the client read: 11,700 of the 12,000 missing bytes in 0.7 s in a trace, so where the loop is a little faster the response is whole before it is late, and the test waits for an end that is not due. The test of a slow chunked response does the same near the 16 kB a second that it has to stay under. The program is as it should be. Change: 10 ms between the bytes. Checks and bounds stay.

--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -147,7 +147,9 @@
     async with asyncio.timeout(0.3 + 0.5):
         with contextlib.suppress(ConnectionError):
             while await reader.read(1000):
-                peer.transport.write(chunk(PART[:1]))
+                await asyncio.sleep(0.01)
+                if not peer.transport.is_closing():
+                    peer.transport.write(chunk(PART[:1]))
     writer.close()
 
 
@@ -176,7 +178,9 @@
             received = await reader.read(1000)
             while more := await reader.read(10_000):
                 received += more
-                peer.transport.write(PART[:1])
+                await asyncio.sleep(0.01)
+                if not peer.transport.is_closing():
+                    peer.transport.write(PART[:1])
     assert received.startswith(b"HTTP/1.1 200 ") and len(received) < len(PART)
     budget.used -= 1_000_000_000
     writer.close()
